--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+MODULES := core peer coltsfootd coltsfootctl standin integration
+GO ?= go
+LINT = $$(cd $(CURDIR)/tools/lint && GOWORK=off $(GO) tool -n golangci-lint)
+
+PROFILE ?= sablons
+SCENARIO ?= steady
+SEED ?= 1
+
+.PHONY: all build test lint fmt demo bench capacity generate
+
+all: build lint test
+
+build:
+	mkdir -p bin
+	$(GO) build -o bin/ ./coltsfootd ./coltsfootctl ./standin
+
+test: build
+	COLTSFOOTUSHER_BIN=$(CURDIR)/bin $(GO) test -race -timeout 8m $(MODULES:%=./%/...)
+
+lint:
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(LINT) run ./...) || exit 1; done
+
+fmt:
+	@for m in $(MODULES); do (cd $$m && $(LINT) fmt ./...) || exit 1; done
+
+demo: build
+	bin/standin demo --profile $(PROFILE) --bin bin --config-dir examples
+
+bench: build
+	bin/standin bench --profile $(PROFILE) --scenario $(SCENARIO) --seed $(SEED) --bin bin --config-dir examples
+
+capacity: build
+	bin/standin capacity
+
+generate:
+	mkdir -p tmp/gen
+	cd tools/gen && GOWORK=off GOBIN=$(CURDIR)/tmp/gen $(GO) install tool
+	PATH=$(CURDIR)/tmp/gen:$$PATH protoc --proto_path=peer/peerpb --go_out=peer/peerpb --go_opt=paths=source_relative \
+		--twirp_out=peer/peerpb --twirp_opt=paths=source_relative control.proto
--- /dev/null
+++ b/coltsfootctl/main.go
@@ -0,0 +1,4 @@
+// Command coltsfootctl is part of coltsfootusher.
+package main
+
+func main() {}
--- /dev/null
+++ b/coltsfootd/main.go
@@ -0,0 +1,4 @@
+// Command coltsfootd is part of coltsfootusher.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/account/doc.go
@@ -0,0 +1,2 @@
+// Package account holds the published section of client accounts and their keys.
+package account
--- /dev/null
+++ b/core/call/reason.go
@@ -0,0 +1,116 @@
+package call
+
+import "net/http"
+
+// Reason is the machine-readable reason of a refusal or an error.
+type Reason string
+
+// The reasons. Each has a counter and an entry in docs/operators.md.
+const (
+	ReasonMalformed           Reason = "malformedRequest"
+	ReasonKeyMissing          Reason = "keyMissing"
+	ReasonKeyUnknown          Reason = "keyUnknown"
+	ReasonKeyExposed          Reason = "keyExposed"
+	ReasonAccountNotAllowed   Reason = "accountNotAllowed"
+	ReasonRouteUnknown        Reason = "routeUnknown"
+	ReasonRouteClosed         Reason = "routeClosed"
+	ReasonLookupsClosed       Reason = "lookupsClosed"
+	ReasonHeaderTooLarge      Reason = "headerTooLarge"
+	ReasonBodyTooLarge        Reason = "bodyTooLarge"
+	ReasonDeadlineExceeded    Reason = "deadlineExceeded"
+	ReasonOverRate            Reason = "overRate"
+	ReasonOverloaded          Reason = "overloaded"
+	ReasonQueueTimeout        Reason = "queueTimeout"
+	ReasonDoomed              Reason = "deadlineTooClose"
+	ReasonLeaving             Reason = "leaving"
+	ReasonNoTarget            Reason = "noTarget"
+	ReasonTargetDown          Reason = "targetDown"
+	ReasonTargetFailed        Reason = "targetFailed"
+	ReasonNodeUnreachable     Reason = "nodeUnreachable"
+	ReasonAnswerMismatch      Reason = "answerMismatch"
+	ReasonAnswerTruncated     Reason = "answerTruncated"
+	ReasonNotReady            Reason = "notReady"
+	ReasonConfirmTimeout      Reason = "confirmTimeout"
+	ReasonContextUnknown      Reason = "contextUnknown"
+	ReasonPoison              Reason = "poisonRequest"
+	ReasonOperationIDRequired Reason = "operationIdRequired"
+	ReasonOperationIDInvalid  Reason = "operationIdInvalid"
+	ReasonOperationExpired    Reason = "operationExpired"
+	ReasonOperationUnknown    Reason = "operationUnknown"
+	ReasonOperationRunning    Reason = "operationRunning"
+	ReasonOperationSealed     Reason = "operationSealed"
+	ReasonOperationTableFull  Reason = "operationTableFull"
+	ReasonOnceOnlyInLookup    Reason = "onceOnlyInLookup"
+	ReasonCallerGone          Reason = "callerGone"
+	ReasonInternal            Reason = "internalError"
+)
+
+// StatusCallerGone is the status logged for a call whose caller disconnected; nobody receives it.
+const StatusCallerGone = 499
+
+var statusOf = map[Reason]int{
+	ReasonMalformed:           http.StatusBadRequest,
+	ReasonKeyMissing:          http.StatusUnauthorized,
+	ReasonKeyUnknown:          http.StatusUnauthorized,
+	ReasonKeyExposed:          http.StatusBadRequest,
+	ReasonAccountNotAllowed:   http.StatusForbidden,
+	ReasonRouteUnknown:        http.StatusNotFound,
+	ReasonRouteClosed:         http.StatusServiceUnavailable,
+	ReasonLookupsClosed:       http.StatusServiceUnavailable,
+	ReasonHeaderTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
+	ReasonBodyTooLarge:        http.StatusRequestEntityTooLarge,
+	ReasonDeadlineExceeded:    http.StatusGatewayTimeout,
+	ReasonOverRate:            http.StatusTooManyRequests,
+	ReasonOverloaded:          http.StatusServiceUnavailable,
+	ReasonQueueTimeout:        http.StatusServiceUnavailable,
+	ReasonDoomed:              http.StatusServiceUnavailable,
+	ReasonLeaving:             http.StatusServiceUnavailable,
+	ReasonNoTarget:            http.StatusServiceUnavailable,
+	ReasonTargetDown:          http.StatusBadGateway,
+	ReasonTargetFailed:        http.StatusBadGateway,
+	ReasonNodeUnreachable:     http.StatusBadGateway,
+	ReasonAnswerMismatch:      http.StatusBadGateway,
+	ReasonAnswerTruncated:     http.StatusBadGateway,
+	ReasonNotReady:            http.StatusServiceUnavailable,
+	ReasonConfirmTimeout:      http.StatusServiceUnavailable,
+	ReasonContextUnknown:      http.StatusForbidden,
+	ReasonPoison:              http.StatusUnprocessableEntity,
+	ReasonOperationIDRequired: http.StatusBadRequest,
+	ReasonOperationIDInvalid:  http.StatusBadRequest,
+	ReasonOperationExpired:    http.StatusGone,
+	ReasonOperationUnknown:    http.StatusConflict,
+	ReasonOperationRunning:    http.StatusConflict,
+	ReasonOperationSealed:     http.StatusConflict,
+	ReasonOperationTableFull:  http.StatusServiceUnavailable,
+	ReasonOnceOnlyInLookup:    http.StatusForbidden,
+	ReasonCallerGone:          StatusCallerGone,
+	ReasonInternal:            http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status with which the reason is reported.
+func (r Reason) Status() int {
+	if status, ok := statusOf[r]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Reasons lists every reason, in no particular order.
+func Reasons() []Reason {
+	reasons := make([]Reason, 0, len(statusOf))
+	for reason := range statusOf {
+		reasons = append(reasons, reason)
+	}
+	return reasons
+}
+
+// Retryable reports whether a lookup refused for the reason may be tried at another target.
+func (r Reason) Retryable() bool {
+	switch r {
+	case ReasonOverloaded, ReasonQueueTimeout, ReasonLeaving, ReasonTargetDown, ReasonTargetFailed,
+		ReasonNodeUnreachable, ReasonAnswerMismatch, ReasonAnswerTruncated, ReasonNotReady:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/preset"
+	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/service"
+	"coltsfootusher.example/core/vm"
+)
+
+// Error is the class of errors about snapshots.
+var Error = errs.Class("fleet")
+
+// Name is the name of a published section.
+type Name string
+
+// The published sections.
+const (
+	Presets  Name = "presets"
+	Accounts Name = "accounts"
+	Routes   Name = "routes"
+	Services Name = "services"
+	VMs      Name = "vms"
+)
+
+// Names lists all published sections.
+func Names() []Name {
+	return []Name{Presets, Accounts, Routes, Services, VMs}
+}
+
+// Snapshot is an immutable set of decoded sections with the indexes that traffic needs.
+type Snapshot struct {
+	// Versions are the published versions of the sections; a section that was never read has no entry.
+	Versions map[Name]int64
+
+	Presets  preset.Section
+	Accounts account.Section
+	Routes   route.Section
+	Services service.Section
+	VMs      vm.Section
+
+	accountsByHash map[string]*account.Account
+	accountsByID   map[string]*account.Account
+	vmsByName      map[string]*vm.VM
+	vmsByService   map[string][]vm.VM
+	vmsByDomain    map[string][]vm.VM
+	servicesByName map[string]*service.Service
+	routesByLength []route.Route
+}
+
+// With returns a copy of the snapshot in which one section has the given version and value.
+// On error the snapshot is unchanged and the error says what is wrong with the value.
+func (s *Snapshot) With(name Name, version int64, value json.RawMessage) (*Snapshot, error) {
+	next := *s
+	var err error
+	switch name {
+	case Presets:
+		next.Presets, err = preset.Decode(value)
+	case Accounts:
+		next.Accounts, err = account.Decode(value)
+	case Routes:
+		next.Routes, err = route.Decode(value)
+	case Services:
+		next.Services, err = service.Decode(value)
+	case VMs:
+		next.VMs, err = vm.Decode(value)
+	default:
+		err = Error.New("unknown section %q", name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	next.Versions = make(map[Name]int64, len(s.Versions)+1)
+	for n, v := range s.Versions {
+		next.Versions[n] = v
+	}
+	next.Versions[name] = version
+	next.index()
+	return &next, nil
+}
+
+func (s *Snapshot) index() {
+	s.accountsByHash = make(map[string]*account.Account)
+	s.accountsByID = make(map[string]*account.Account, len(s.Accounts.Accounts))
+	for i := range s.Accounts.Accounts {
+		a := &s.Accounts.Accounts[i]
+		s.accountsByID[a.ID] = a
+		for _, hash := range a.KeyHashes {
+			s.accountsByHash[hash] = a
+		}
+	}
+	s.vmsByName = make(map[string]*vm.VM, len(s.VMs.VMs))
+	s.vmsByService = make(map[string][]vm.VM)
+	s.vmsByDomain = make(map[string][]vm.VM)
+	for i := range s.VMs.VMs {
+		v := &s.VMs.VMs[i]
+		s.vmsByName[v.Name] = v
+		s.vmsByService[v.Service] = append(s.vmsByService[v.Service], *v)
+		s.vmsByDomain[v.FailureDomain] = append(s.vmsByDomain[v.FailureDomain], *v)
+	}
+	s.servicesByName = make(map[string]*service.Service, len(s.Services.Services))
+	for i := range s.Services.Services {
+		s.servicesByName[s.Services.Services[i].Name] = &s.Services.Services[i]
+	}
+	s.routesByLength = slices.Clone(s.Routes.Routes)
+	slices.SortStableFunc(s.routesByLength, func(a, b route.Route) int {
+		return len(b.Prefix) - len(a.Prefix)
+	})
+}
+
+// Complete reports whether every section has been read.
+func (s *Snapshot) Complete() bool {
+	return len(s.Versions) == len(Names())
+}
+
+// AccountByKey returns the client account to which the key was given.
+func (s *Snapshot) AccountByKey(key string) (account.Account, bool) {
+	a, ok := s.accountsByHash[account.HashKey(key)]
+	if !ok {
+		return account.Account{}, false
+	}
+	return *a, true
+}
+
+// Account returns the client account with the id.
+func (s *Snapshot) Account(id string) (account.Account, bool) {
+	a, ok := s.accountsByID[id]
+	if !ok {
+		return account.Account{}, false
+	}
+	return *a, true
+}
+
+// Route returns the route with the longest prefix that matches path.
+func (s *Snapshot) Route(path string) (route.Route, bool) {
+	if strings.Contains(path, "/../") || strings.HasSuffix(path, "/..") {
+		return route.Route{}, false
+	}
+	for _, r := range s.routesByLength {
+		if r.Matches(path) {
+			return r, true
+		}
+	}
+	return route.Route{}, false
+}
+
+// VM returns the VM with the name.
+func (s *Snapshot) VM(name string) (vm.VM, bool) {
+	v, ok := s.vmsByName[name]
+	if !ok {
+		return vm.VM{}, false
+	}
+	return *v, true
+}
+
+// VMsOfService returns the VMs whose targets run the service; callers must not change the slice.
+func (s *Snapshot) VMsOfService(name string) []vm.VM {
+	return s.vmsByService[name]
+}
+
+// VMsOfDomain returns the VMs of the failure domain; callers must not change the slice.
+func (s *Snapshot) VMsOfDomain(domain string) []vm.VM {
+	return s.vmsByDomain[domain]
+}
+
+// Service returns the service with the name.
+func (s *Snapshot) Service(name string) (service.Service, bool) {
+	svc, ok := s.servicesByName[name]
+	if !ok {
+		return service.Service{}, false
+	}
+	return *svc, true
+}
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,76 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/fleet"
+)
+
+const accountsValue = `{"accounts":[{"id":"laurel","keyHashes":[],"ratePerSecond":10,"burst":5}]}`
+
+// Guards against a bad published value replacing the last valid one in part.
+func TestWithRejectsInvalidValues(t *testing.T) {
+	good, err := (&fleet.Snapshot{}).With(fleet.Accounts, 3, json.RawMessage(accountsValue))
+	assert.NilError(t, err)
+	cases := []struct {
+		name    string
+		section fleet.Name
+		value   string
+		want    string
+	}{
+		{"unknown field", fleet.Accounts, `{"accounts":[],"x":1}`, "unknown field"},
+		{"trailing data", fleet.Accounts, `{"accounts":[]} {}`, "unexpected data"},
+		{"no rate", fleet.Accounts, `{"accounts":[{"id":"a","burst":1}]}`, "ratePerSecond"},
+		{"bad hash", fleet.Accounts, `{"accounts":[{"id":"a","ratePerSecond":1,"burst":1,"keyHashes":["zz"]}]}`, "SHA-256"},
+		{"undefined preset", fleet.Presets, `{"active":"peak","presets":{}}`, "not defined"},
+		{"relative prefix", fleet.Routes, `{"routes":[{"prefix":"a","service":"s","class":"lookup"}]}`, "slash"},
+		{"host name", fleet.VMs, `{"vms":[{"name":"a","failureDomain":"d","service":"s",
+			"peerAddress":"h:1","state":"live"}]}`, "IP address"},
+		{"no domains", fleet.Services, `{"services":[],"seatsPerDomain":1,"failureDomains":[]}`, "failureDomains"},
+		{"unknown section", "other", `{}`, "unknown section"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := good.With(c.section, 4, json.RawMessage(c.value))
+			assert.ErrorContains(t, err, c.want)
+			assert.Equal(t, good.Versions[fleet.Accounts], int64(3))
+		})
+	}
+}
+
+// Guards against a request being attributed to a client account that does not own the key.
+func TestAccountByKey(t *testing.T) {
+	value, err := json.Marshal(account.Section{Accounts: []account.Account{
+		{ID: "a", KeyHashes: []string{account.HashKey("key-a")}, RatePerSecond: 1, Burst: 1},
+		{ID: "b", KeyHashes: []string{account.HashKey("key-b")}, RatePerSecond: 1, Burst: 1},
+	}})
+	assert.NilError(t, err)
+	s, err := (&fleet.Snapshot{}).With(fleet.Accounts, 1, value)
+	assert.NilError(t, err)
+	got, ok := s.AccountByKey("key-b")
+	assert.Assert(t, ok)
+	assert.Equal(t, got.ID, "b")
+	_, ok = s.AccountByKey("key-c")
+	assert.Assert(t, !ok)
+}
+
+// Guards against a path outside a prefix reaching the prefix's service.
+func TestRouteMatchesWholeSegments(t *testing.T) {
+	value := `{"routes":[{"prefix":"/riders","service":"riders","class":"lookup"},
+		{"prefix":"/riders/void","service":"voids","class":"onceOnly"}]}`
+	s, err := (&fleet.Snapshot{}).With(fleet.Routes, 1, json.RawMessage(value))
+	assert.NilError(t, err)
+	cases := map[string]string{
+		"/riders": "riders", "/riders/7": "riders", "/riders/void/7": "voids", "/riders/voided": "riders",
+		"/ridersx": "", "/riders/../signings": "", "/": "",
+	}
+	for path, want := range cases {
+		r, ok := s.Route(path)
+		assert.Equal(t, ok, want != "", path)
+		assert.Equal(t, r.Service, want, path)
+	}
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,105 @@
+package route
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/strictjson"
+)
+
+// Error is the class of errors about routes.
+var Error = errs.Class("route")
+
+// Class says whether the requests of a route may be executed more than once.
+type Class string
+
+// The classes of requests.
+const (
+	// Lookup requests are idempotent.
+	Lookup Class = "lookup"
+	// OnceOnly requests must be executed at most once.
+	OnceOnly Class = "onceOnly"
+)
+
+// Route maps the requests below a path prefix to a service.
+type Route struct {
+	Prefix  string `json:"prefix"`
+	Service string `json:"service"`
+	Class   Class  `json:"class"`
+	// Open routes need no key.
+	Open bool `json:"open,omitempty"`
+	// Accounts are the ids of the client accounts that may use the route; empty means all.
+	Accounts []string `json:"accounts,omitempty"`
+	// TimeoutMs bounds a call on this route; 0 means the preset's default deadline.
+	TimeoutMs clock.Millis `json:"timeoutMs,omitempty"`
+}
+
+// Section is the published value "routes".
+type Section struct {
+	Routes []Route `json:"routes"`
+}
+
+// Decode parses and checks the published value.
+func Decode(data json.RawMessage) (Section, error) {
+	var section Section
+	if err := strictjson.Unmarshal(data, &section); err != nil {
+		return Section{}, Error.Wrap(err)
+	}
+	if err := section.Validate(); err != nil {
+		return Section{}, err
+	}
+	return section, nil
+}
+
+// Validate reports the first route that is incomplete or listed twice.
+func (s Section) Validate() error {
+	prefixes := make(map[string]bool, len(s.Routes))
+	for _, r := range s.Routes {
+		if err := r.Validate(); err != nil {
+			return err
+		}
+		if prefixes[r.Prefix] {
+			return Error.New("prefix %q is listed twice", r.Prefix)
+		}
+		prefixes[r.Prefix] = true
+	}
+	return nil
+}
+
+// Validate reports the first field that is missing or out of range.
+func (r Route) Validate() error {
+	if !strings.HasPrefix(r.Prefix, "/") {
+		return Error.New("prefix %q must start with a slash", r.Prefix)
+	}
+	if r.Service == "" {
+		return Error.New("prefix %q: service is missing", r.Prefix)
+	}
+	if r.Class != Lookup && r.Class != OnceOnly {
+		return Error.New("prefix %q: class must be %q or %q, got %q", r.Prefix, Lookup, OnceOnly, r.Class)
+	}
+	if r.Open && len(r.Accounts) > 0 {
+		return Error.New("prefix %q: an open route must not list accounts", r.Prefix)
+	}
+	if r.TimeoutMs < 0 {
+		return Error.New("prefix %q: timeoutMs must not be negative, got %d", r.Prefix, r.TimeoutMs)
+	}
+	return nil
+}
+
+// Allows reports whether the client account may use the route.
+func (r Route) Allows(accountID string) bool {
+	return r.Open || len(r.Accounts) == 0 || slices.Contains(r.Accounts, accountID)
+}
+
+// Matches reports whether path equals the prefix or lies below it.
+func (r Route) Matches(path string) bool {
+	if !strings.HasPrefix(path, r.Prefix) {
+		return false
+	}
+	rest := path[len(r.Prefix):]
+	return rest == "" || strings.HasSuffix(r.Prefix, "/") || rest[0] == '/'
+}
--- /dev/null
+++ b/core/strictjson/strictjson.go
@@ -0,0 +1,25 @@
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of decoding errors.
+var Error = errs.Class("json")
+
+// Unmarshal decodes data into v; unknown fields and data after the value are errors.
+func Unmarshal(data []byte, v any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		return Error.New("at byte %d: %v", decoder.InputOffset(), err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return Error.New("at byte %d: unexpected data after the value", decoder.InputOffset())
+	}
+	return nil
+}
--- /dev/null
+++ b/core/vm/doc.go
@@ -0,0 +1,2 @@
+// Package vm holds the published list of VMs.
+package vm
--- /dev/null
+++ b/core/vm/vm.go
@@ -0,0 +1,91 @@
+package vm
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/core/strictjson"
+)
+
+// Error is the class of errors about VMs.
+var Error = errs.Class("vm")
+
+// State says whether a VM is to get new work.
+type State string
+
+// The states of a VM in the published list.
+const (
+	// Live VMs get new work.
+	Live State = "live"
+	// Leaving VMs finish what they run and get no new work.
+	Leaving State = "leaving"
+)
+
+// VM is one machine with its target and its node.
+type VM struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failureDomain"`
+	Service       string `json:"service"`
+	// PeerAddress is the IP address and port at which the VM's node serves other nodes.
+	PeerAddress string `json:"peerAddress"`
+	State       State  `json:"state"`
+}
+
+// Section is the published value "vms".
+type Section struct {
+	VMs []VM `json:"vms"`
+}
+
+// Decode parses and checks the published value.
+func Decode(data json.RawMessage) (Section, error) {
+	var section Section
+	if err := strictjson.Unmarshal(data, &section); err != nil {
+		return Section{}, Error.Wrap(err)
+	}
+	if err := section.Validate(); err != nil {
+		return Section{}, err
+	}
+	return section, nil
+}
+
+// Validate reports the first VM that is incomplete or contradicts another one.
+func (s Section) Validate() error {
+	names := make(map[string]bool, len(s.VMs))
+	addresses := make(map[string]string, len(s.VMs))
+	for _, v := range s.VMs {
+		if err := v.Validate(); err != nil {
+			return err
+		}
+		if names[v.Name] {
+			return Error.New("VM %q is listed twice", v.Name)
+		}
+		names[v.Name] = true
+		if other, ok := addresses[v.PeerAddress]; ok {
+			return Error.New("VMs %q and %q share the peer address %s", other, v.Name, v.PeerAddress)
+		}
+		addresses[v.PeerAddress] = v.Name
+	}
+	return nil
+}
+
+// Validate reports the first field that is missing or out of range.
+func (v VM) Validate() error {
+	if v.Name == "" {
+		return Error.New("VM without a name")
+	}
+	if v.FailureDomain == "" {
+		return Error.New("VM %q: failureDomain is missing", v.Name)
+	}
+	if v.Service == "" {
+		return Error.New("VM %q: service is missing", v.Name)
+	}
+	if _, err := netip.ParseAddrPort(v.PeerAddress); err != nil {
+		return Error.New("VM %q: peerAddress must be an IP address and a port, got %q", v.Name, v.PeerAddress)
+	}
+	if v.State != Live && v.State != Leaving {
+		return Error.New("VM %q: state must be %q or %q, got %q", v.Name, Live, Leaving, v.State)
+	}
+	return nil
+}
--- /dev/null
+++ b/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration holds tests with real processes.
+package integration
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is part of coltsfootusher.
+package main
+
+func main() {}
