--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,12 @@
-// Command standin is part of coltsfootusher.
+// Command standin starts test stand-ins for the platform, the targets and the callers.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"coltsfootusher.example/standin/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/standin/server/doc.go
@@ -0,0 +1,2 @@
+// Package server runs the HTTP listeners of the stand-ins.
+package server
