--- a/standin/journal/journal.go
+++ b/standin/journal/journal.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -149,3 +150,18 @@
 	}
 	return entries, Error.Wrap(scanner.Err())
 }
+
+// Contains reports whether the path, a header or another field of the entry contains the text.
+func (e Entry) Contains(text string) bool {
+	if strings.Contains(e.Path, text) || strings.Contains(e.RequestID, text) || strings.Contains(e.OperationID, text) {
+		return true
+	}
+	for _, values := range e.Headers {
+		for _, value := range values {
+			if strings.Contains(value, text) {
+				return true
+			}
+		}
+	}
+	return false
+}
