Admit calls at the gate by rank, fair share and deadline

Change: core/gate ranks once-only calls, then deeper lookups, then root calls; shares slots among accounts by stride scheduling; turns newest-first after 50 ms of waiting; drops what cannot finish; displaces from the account most over its share. Adaptive lowers the limit on latency only as long as that shortens the calls. Conclusion: account-fair with newest-first under pressure is the default. A fixed limit is the better choice for services whose slots are mostly held by calls to further services.

--- /dev/null
+++ b/core/gate/gate_test.go
@@ -0,0 +1,289 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/route"
+)
+
+func newGate(config Config) *Gate {
+	config.Enabled = true
+	return New(config, Fixed(1000), rand.New(rand.NewPCG(1, 1)), 0)
+}
+
+func lookup(id uint64, account string, depth int) Request {
+	return Request{ID: id, Account: account, Weight: 1, Class: route.Lookup, Depth: depth, Deadline: 10_000}
+}
+
+func onceOnly(id uint64) Request {
+	return Request{ID: id, Account: "z", Weight: 1, Class: route.OnceOnly, Deadline: 10_000}
+}
+
+// runOrder ends the running call 1 and each call admitted after it, and returns the order of admissions.
+func runOrder(g *Gate, now clock.Millis) (order []uint64) {
+	for last := uint64(1); ; last = order[len(order)-1] {
+		decisions := g.Done(last, Sample{}, now)
+		if len(decisions) == 0 {
+			return order
+		}
+		for _, d := range decisions {
+			if d.Admitted {
+				order = append(order, d.ID)
+			}
+		}
+	}
+}
+
+// Guards against a rank order that lets lookups or shallow calls pass those on which work was already spent.
+func TestOrderOfAdmission(t *testing.T) {
+	heavy := func(r Request) Request { r.Weight = 2; return r }
+	for name, test := range map[string]struct {
+		requests []Request
+		now      clock.Millis
+		want     []uint64
+	}{
+		"class and depth": {
+			[]Request{lookup(2, "a", 0), lookup(3, "a", 2), onceOnly(4), lookup(5, "a", 1)}, 0, []uint64{4, 3, 5, 2}},
+		"accounts alternate": {
+			[]Request{lookup(2, "a", 0), lookup(3, "a", 0), lookup(4, "a", 0), lookup(5, "b", 0)}, 0, []uint64{2, 5, 3, 4}},
+		"weights": {
+			[]Request{lookup(2, "a", 0), lookup(3, "a", 0), heavy(lookup(4, "b", 0)), heavy(lookup(5, "b", 0)),
+				heavy(lookup(6, "b", 0)), heavy(lookup(7, "b", 0))}, 0, []uint64{2, 4, 5, 3, 6, 7}},
+		"newest first under pressure": {
+			[]Request{lookup(2, "a", 0), lookup(3, "a", 0), lookup(4, "b", 0)}, defaultPressureAfterMs, []uint64{3, 4, 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate(Config{Slots: 1, QueueLimit: 10})
+			assert.Assert(t, g.Offer(lookup(1, "y", 9), 0)[0].Admitted)
+			for _, r := range test.requests {
+				assert.Equal(t, len(g.Offer(r, 0)), 0)
+			}
+			assert.DeepEqual(t, runOrder(g, test.now), test.want)
+			assert.Assert(t, g.Idle())
+			assert.Equal(t, len(g.accounts), 0)
+		})
+	}
+}
+
+// Guards against a full queue that sheds the wrong call.
+func TestFullQueueDisplaces(t *testing.T) {
+	roots := []Request{lookup(2, "a", 0), lookup(3, "a", 0), lookup(4, "b", 0)}
+	mixed := []Request{lookup(2, "a", 2), lookup(3, "a", 0), lookup(4, "b", 0)}
+	for name, test := range map[string]struct {
+		waiting []Request
+		offered Request
+		refused uint64
+	}{
+		"lookup of the largest account":    {roots, lookup(5, "c", 0), 3},
+		"the offered call itself":          {roots, lookup(5, "a", 0), 5},
+		"shallowest lookup of the account": {mixed, lookup(5, "a", 2), 3},
+		"lookup for a once-only call":      {[]Request{onceOnly(2), onceOnly(3), lookup(4, "b", 0)}, onceOnly(5), 4},
+		"lookup that meets once-only":      {[]Request{onceOnly(2), onceOnly(3), onceOnly(4)}, lookup(5, "b", 0), 5},
+		"once-only call among its own":     {[]Request{onceOnly(2), onceOnly(3), onceOnly(4)}, onceOnly(5), 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate(Config{Slots: 1, QueueLimit: 3})
+			g.Offer(lookup(1, "y", 0), 0)
+			for _, r := range test.waiting {
+				assert.Equal(t, len(g.Offer(r, 0)), 0)
+			}
+			decisions := g.Offer(test.offered, 0)
+			assert.Equal(t, len(decisions), 1)
+			assert.Equal(t, decisions[0].ID, test.refused)
+			assert.Equal(t, decisions[0].Reason, call.ReasonOverloaded)
+			assert.Assert(t, decisions[0].RetryAfterMs >= minRetryAfterMs/2)
+		})
+	}
+}
+
+// Guards against a wait past the deadline or the queue timeout, and against a timeout that sheds once-only calls.
+func TestTickRefusesCallsWhoseTimeHasPassed(t *testing.T) {
+	g := newGate(Config{Slots: 1, QueueLimit: 9, QueueTimeoutMs: 50})
+	g.Offer(lookup(1, "a", 0), 0)
+	g.Done(1, Sample{LatencyMs: 100}, 0)
+	g.Offer(lookup(2, "a", 0), 0)
+	late := lookup(3, "a", 0)
+	late.Deadline = 110
+	g.Offer(late, 0)
+	g.Offer(lookup(4, "a", 0), 0)
+	g.Offer(onceOnly(5), 0)
+	past := lookup(6, "a", 0)
+	past.Deadline = 0
+	assert.Equal(t, g.Offer(past, 0)[0].Reason, call.ReasonDeadlineExceeded)
+	assert.Equal(t, len(g.Tick(10)), 0)
+	assert.Equal(t, g.Tick(15)[0].Reason, call.ReasonDoomed)
+	decisions := g.Tick(60)
+	assert.Equal(t, len(decisions), 1)
+	assert.Equal(t, decisions[0].Reason, call.ReasonQueueTimeout)
+	assert.Equal(t, g.Load(), call.Load{Running: 1, Waiting: 1, Limit: 1, WaitMs: 200})
+}
+
+// Guards against an estimate that refuses every call for good after the target was slow.
+func TestServiceEstimateRecovers(t *testing.T) {
+	g := newGate(Config{Slots: 1})
+	g.Offer(lookup(1, "a", 0), 0)
+	g.Done(1, Sample{LatencyMs: 5000}, 0)
+	r := lookup(2, "a", 0)
+	r.Deadline = 500
+	assert.Equal(t, g.Offer(r, 0)[0].Reason, call.ReasonDoomed)
+	r.Deadline = 5500
+	assert.Assert(t, g.Offer(r, 5000)[0].Admitted)
+}
+
+// Guards against a cold target that gets its full load at once, and against a stuck queue while the limit grows.
+func TestSlowStart(t *testing.T) {
+	g := newGate(Config{Slots: 10, QueueLimit: 20, ColdStartMs: 1000})
+	g.TargetStarted(0)
+	for id := range uint64(12) {
+		g.Offer(lookup(id, "a", 0), 0)
+	}
+	assert.Equal(t, g.Load().Running, 1)
+	g.Tick(500)
+	assert.Equal(t, g.Load().Running, 5)
+	g.Tick(1000)
+	assert.Equal(t, g.Load().Running, 10)
+}
+
+// Guards against a leaving node that takes new work or drops waiting calls, and against limits with the policy off.
+func TestLeavingAndPolicyOff(t *testing.T) {
+	g := newGate(Config{Slots: 1, QueueLimit: 9})
+	g.Offer(lookup(1, "a", 0), 0)
+	g.Offer(lookup(2, "a", 0), 0)
+	assert.Equal(t, len(g.SetLeaving(true, 0)), 0)
+	assert.Equal(t, g.Offer(onceOnly(3), 0)[0].Reason, call.ReasonLeaving)
+	assert.Assert(t, g.Done(1, Sample{}, 0)[0].Admitted)
+	g.SetLeaving(false, 0)
+	g.Offer(lookup(4, "a", 0), 0)
+	assert.Assert(t, g.Configure(Config{Slots: 1}, 0)[0].Admitted)
+	assert.Assert(t, g.Offer(lookup(5, "a", 0), 0)[0].Admitted)
+	assert.Equal(t, len(g.Cancel(5, 0)), 0)
+}
+
+// Guards against lost or repeated decisions, against lookups that start while a once-only call waits,
+// and against more running calls than slots, over random histories.
+func TestGateInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := Config{
+			Slots:          rapid.IntRange(1, 4).Draw(t, "slots"),
+			QueueLimit:     rapid.IntRange(0, 5).Draw(t, "queueLimit"),
+			QueueTimeoutMs: clock.Millis(rapid.IntRange(0, 50).Draw(t, "queueTimeoutMs")),
+			ColdStartMs:    40,
+		}
+		g := newGate(config)
+		now := clock.Millis(1)
+		requests := make(map[uint64]Request)
+		decided := make(map[uint64]Decision)
+		var running []uint64
+		refusedAt := clock.Millis(-1)
+		apply := func(decisions []Decision) {
+			for _, d := range decisions {
+				r := requests[d.ID]
+				_, repeated := decided[d.ID]
+				assert.Assert(t, !repeated, "call %d is decided twice", d.ID)
+				decided[d.ID] = d
+				assert.Equal(t, d.Admitted, d.Reason == "")
+				if !d.Admitted {
+					if r.Class == route.OnceOnly && d.Reason == call.ReasonOverloaded {
+						refusedAt = now
+					}
+					continue
+				}
+				assert.Assert(t, r.Deadline > now)
+				running = append(running, d.ID)
+				if r.Class == route.Lookup {
+					assert.Assert(t, refusedAt != now, "lookup %d starts when a once-only call is refused", d.ID)
+				}
+			}
+			onceOnlyWaits := g.queue.len() - g.queue.lookups
+			for _, d := range decisions {
+				assert.Assert(t, !d.Admitted || requests[d.ID].Class == route.OnceOnly || onceOnlyWaits == 0)
+			}
+			assert.Assert(t, len(running) <= config.Slots)
+			assert.Assert(t, g.queue.len() <= max(config.QueueLimit, g.lookups))
+		}
+		for id := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
+			now += clock.Millis(rapid.IntRange(0, 8).Draw(t, "pause"))
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0:
+				apply(g.Tick(now))
+			case 1:
+				apply(g.Cancel(uint64(rapid.IntRange(0, 60).Draw(t, "id")), now))
+			case 2, 3:
+				if len(running) > 0 {
+					ended := running[0]
+					running = running[1:]
+					apply(g.Done(ended, Sample{LatencyMs: float64(rapid.IntRange(0, 30).Draw(t, "latency"))}, now))
+				}
+			default:
+				requests[id] = Request{
+					ID:       id,
+					Account:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
+					Weight:   float64(rapid.IntRange(0, 3).Draw(t, "weight")),
+					Class:    rapid.SampledFrom([]route.Class{route.Lookup, route.OnceOnly}).Draw(t, "class"),
+					Depth:    rapid.IntRange(0, 3).Draw(t, "depth"),
+					Arrival:  now,
+					Deadline: now + clock.Millis(rapid.IntRange(0, 100).Draw(t, "timeout")),
+				}
+				apply(g.Offer(requests[id], now))
+			}
+		}
+		for range 1000 {
+			if len(running) > 0 {
+				ended := running[0]
+				running = running[1:]
+				apply(g.Done(ended, Sample{}, now))
+			}
+			now += 5
+			apply(g.Tick(now))
+		}
+		assert.Equal(t, len(decided), len(requests))
+		assert.Assert(t, g.Idle())
+	})
+}
+
+// Guards against a limit that stays high at a congested target, and one that falls when a downstream service is slow.
+func TestAdaptiveTellsCongestionFromSlowDownstream(t *testing.T) {
+	for name, test := range map[string]struct {
+		latencyMs func(running int, slow bool) float64
+		low, high int
+	}{
+		// Above 20 calls the target only gets slower, so that twice the latency is met at 40 calls.
+		"congestion": {func(n int, slow bool) float64 {
+			if !slow {
+				return 20
+			}
+			return 20 * max(1, float64(n)/20)
+		}, 16, 48},
+		"slow downstream": {func(_ int, slow bool) float64 {
+			if !slow {
+				return 20
+			}
+			return 200
+		}, 72, 90},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := NewAdaptive(90)
+			now := 0.0
+			for now < 10_000 {
+				running := a.Limit()
+				latency := test.latencyMs(running, now >= 2000)
+				now += latency / float64(running)
+				a.Observe(Sample{LatencyMs: latency}, running, clock.Millis(now))
+				if now > 6000 {
+					assert.Assert(t, a.Limit() >= test.low && a.Limit() <= test.high, "limit %d at %.0f ms", a.Limit(), now)
+				}
+			}
+			for now < 14_000 {
+				now += 20 / float64(a.Limit())
+				a.Observe(Sample{LatencyMs: 20}, a.Limit(), clock.Millis(now))
+			}
+			assert.Equal(t, a.Limit(), 90)
+		})
+	}
+}
--- /dev/null
+++ b/core/gate/trial_test.go
@@ -0,0 +1,221 @@
+package gate
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/route"
+)
+
+const (
+	trialSlots    = 90
+	trialMs       = 15_000
+	surgeFrom     = 2_000
+	surgeTo       = 12_000
+	trialDeadline = 400
+	// trialCapacity is in calls/s at the mean service time of 50 ms.
+	trialCapacity = trialSlots * 1000 / 50
+)
+
+type event struct {
+	at, started clock.Millis
+	id          uint64
+}
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+type attempt struct {
+	account  int
+	tries    int
+	deadline clock.Millis
+}
+
+// trial drives a gate with 2.5 times the capacity for 10 s, from 8 accounts of which the first sends half of the calls.
+// Refused callers try again twice, after 20 ms.
+type trial struct {
+	gate    *Gate
+	random  *rand.Rand
+	fair    bool
+	now     clock.Millis
+	nextID  uint64
+	pending map[uint64]attempt
+	ends    events
+	again   events
+	retries map[uint64]attempt
+	// slowFrom and slowTo bound the time in which calls take 4 times as long, whatever the limit.
+	slowFrom, slowTo clock.Millis
+
+	complete [trialMs / 100]int
+	offered  [8]float64
+	received [8]float64
+}
+
+func (tr *trial) offer(a attempt) {
+	tr.nextID++
+	r := Request{ID: tr.nextID, Class: route.Lookup, Arrival: tr.now, Deadline: tr.now + trialDeadline}
+	if tr.fair {
+		r.Account = string(rune('a' + a.account))
+	}
+	a.deadline = r.Deadline
+	tr.pending[r.ID] = a
+	tr.apply(tr.gate.Offer(r, tr.now))
+}
+
+func (tr *trial) apply(decisions []Decision) {
+	for _, d := range decisions {
+		if d.Admitted {
+			service := clock.Millis(25 + tr.random.IntN(51))
+			if tr.now >= tr.slowFrom && tr.now < tr.slowTo {
+				service *= 4
+			}
+			heap.Push(&tr.ends, event{at: tr.now + service, started: tr.now, id: d.ID})
+			continue
+		}
+		if a := tr.pending[d.ID]; a.tries < 2 {
+			a.tries++
+			tr.retries[d.ID] = a
+			heap.Push(&tr.again, event{at: tr.now + 20, id: d.ID})
+		}
+		delete(tr.pending, d.ID)
+	}
+}
+
+func (tr *trial) step(load float64) {
+	for len(tr.ends) > 0 && tr.ends[0].at <= tr.now {
+		e := heap.Pop(&tr.ends).(event)
+		a := tr.pending[e.id]
+		delete(tr.pending, e.id)
+		if tr.now <= a.deadline {
+			tr.complete[tr.now/100]++
+			if tr.now >= surgeFrom && tr.now < surgeTo {
+				tr.received[a.account]++
+			}
+		}
+		tr.apply(tr.gate.Done(e.id, Sample{LatencyMs: float64(e.at - e.started)}, tr.now))
+	}
+	for len(tr.again) > 0 && tr.again[0].at <= tr.now {
+		e := heap.Pop(&tr.again).(event)
+		tr.offer(tr.retries[e.id])
+		delete(tr.retries, e.id)
+	}
+	arrivals := load * trialCapacity / 1000
+	for n := int(arrivals + tr.random.Float64()); n > 0; n-- {
+		account := 0
+		if tr.random.IntN(2) == 1 {
+			account = 1 + tr.random.IntN(7)
+		}
+		if tr.now >= surgeFrom && tr.now < surgeTo {
+			tr.offered[account]++
+		}
+		tr.offer(attempt{account: account})
+	}
+	if tr.now%5 == 0 {
+		tr.apply(tr.gate.Tick(tr.now))
+	}
+}
+
+type figures struct {
+	goodputRatio, worstAccountRatio float64
+	recoveryMs                      int
+}
+
+func (tr *trial) run(surge float64) figures {
+	const normal = 0.7
+	for ; tr.now < trialMs; tr.now++ {
+		load := normal
+		if tr.now >= surgeFrom && tr.now < surgeTo {
+			load = surge
+		}
+		tr.step(load)
+	}
+	f := figures{worstAccountRatio: 1, recoveryMs: -1}
+	sum := func(from, to int) (n float64) {
+		for _, c := range tr.complete[from/100 : to/100] {
+			n += float64(c)
+		}
+		return n
+	}
+	capacity := 1.0
+	if tr.slowTo > 0 {
+		capacity = 0.25
+	}
+	f.goodputRatio = sum(surgeFrom, surgeTo) / (trialCapacity * 10 * min(capacity, surge))
+	for account, received := range tr.received {
+		due := min(tr.offered[account], trialCapacity*capacity*10/8)
+		f.worstAccountRatio = min(f.worstAccountRatio, received/due)
+	}
+	before := sum(1000, surgeFrom) / 10
+	for at := surgeTo; at+500 <= trialMs && f.recoveryMs < 0; at += 100 {
+		if sum(at, at+500)/5 >= 0.95*before {
+			f.recoveryMs = at - surgeTo
+		}
+	}
+	return f
+}
+
+func newTrial(seed uint64, fair bool, pressureAfterMs clock.Millis, queueLimit int, limiter Limiter) *trial {
+	random := rand.New(rand.NewPCG(seed, 1))
+	config := Config{Slots: trialSlots, QueueLimit: queueLimit, Enabled: true}
+	g := New(config, limiter, random, 0)
+	g.pressureAfterMs = pressureAfterMs
+	return &trial{gate: g, random: random, fair: fair, pending: make(map[uint64]attempt), retries: make(map[uint64]attempt)}
+}
+
+// Guards against a default order that loses goodput in a surge, recovers late or starves an account.
+func TestSurgeTrial(t *testing.T) {
+	const seed = 7
+	t.Logf("seed=%d", seed)
+	for _, order := range []struct {
+		name       string
+		fair       bool
+		pressure   clock.Millis
+		queueLimit int
+	}{
+		{"fifo", false, clock.Never, 200},
+		{"fifo", false, clock.Never, 2000},
+		{"newest-first", false, 0, 2000},
+		{"fair-fifo", true, clock.Never, 2000},
+		{"fair-default", true, defaultPressureAfterMs, 200},
+		{"fair-default", true, defaultPressureAfterMs, 2000},
+	} {
+		t.Run(fmt.Sprintf("%s-%d", order.name, order.queueLimit), func(t *testing.T) {
+			t.Parallel()
+			f := newTrial(seed, order.fair, order.pressure, order.queueLimit, NewAdaptive(trialSlots)).run(2.5)
+			t.Logf("goodputRatio=%.3f recoveryMs=%d worstAccountRatio=%.3f", f.goodputRatio, f.recoveryMs, f.worstAccountRatio)
+			if order.name == "fair-default" {
+				assert.Assert(t, f.goodputRatio >= 0.95)
+				assert.Assert(t, f.recoveryMs >= 0 && f.recoveryMs <= 2000)
+				assert.Assert(t, f.worstAccountRatio >= 0.9)
+			}
+		})
+	}
+}
+
+// Guards against an adaptive limit that wastes slots held by calls that wait for a slow downstream service.
+func TestSlowDownstreamTrial(t *testing.T) {
+	for seed := range uint64(3) {
+		for name, limiter := range map[string]Limiter{"fixed": Fixed(trialSlots), "adaptive": NewAdaptive(trialSlots)} {
+			tr := newTrial(seed, true, defaultPressureAfterMs, 200, limiter)
+			tr.slowFrom, tr.slowTo = surgeFrom, surgeTo
+			f := tr.run(0.7)
+			t.Logf("seed=%d limiter=%s goodputRatio=%.3f recoveryMs=%d worstAccountRatio=%.3f",
+				seed, name, f.goodputRatio, f.recoveryMs, f.worstAccountRatio)
+			assert.Assert(t, f.goodputRatio >= 0.95)
+			assert.Assert(t, f.recoveryMs >= 0 && f.recoveryMs <= 2000)
+		}
+	}
+}
