--- /dev/null
+++ b/coltsfootd/answer/answer.go
@@ -0,0 +1,149 @@
+package answer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+)
+
+// The headers that tell callers about refusals and operations.
+const (
+	ReasonHeader  = "Coltsfoot-Reason"
+	RunHeader     = "Coltsfoot-Run"
+	RequestHeader = "Coltsfoot-Request-Id"
+	NodeHeader    = "Coltsfoot-Node"
+	OutcomeHeader = "Operation-Outcome"
+	retryHeader   = "Retry-After"
+	retryMsHeader = "Retry-After-Ms"
+)
+
+// Answer is a target's answer or a refusal.
+type Answer struct {
+	Result call.Result
+	// Status and Header are those of the target; for refusals they are derived from the result's reason.
+	Status int
+	Header http.Header
+	// Body is the whole body, or its first part when Rest is set.
+	Body []byte
+	// Rest yields the part of a large body that was not buffered.
+	Rest io.ReadCloser
+}
+
+// Refuse returns an answer for a request that no target received.
+func Refuse(reason call.Reason) Answer {
+	return Answer{Result: call.Result{Reason: reason, Run: call.NotRun}, Status: reason.Status()}
+}
+
+// Fail returns an answer for a request that a target may have received.
+func Fail(reason call.Reason) Answer {
+	return Answer{Result: call.Result{Reason: reason, Run: call.MaybeRun}, Status: reason.Status()}
+}
+
+// OK reports whether the answer is the target's.
+func (a Answer) OK() bool {
+	return a.Result.Reason == ""
+}
+
+// Close releases the connection of an answer that is not written.
+func (a Answer) Close() {
+	if a.Rest != nil {
+		_ = a.Rest.Close()
+	}
+}
+
+// CopyHeader copies the headers that belong to the whole path from one hop to the next.
+func CopyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !hopHeaders[name] {
+			to[name] = values
+		}
+	}
+}
+
+// hopHeaders belong to one connection (RFC 9110, section 7.6.1) or are set anew by each node.
+var hopHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Coltsfoot-Result":    true,
+	"Coltsfoot-Peer":      true,
+	"Coltsfoot-Call":      true,
+	"Coltsfoot-Context":   true,
+}
+
+// Write sends the answer. When the body of a large answer ends early it aborts the connection,
+// so that the receiver can't take the part for the whole.
+func (a Answer) Write(w http.ResponseWriter) {
+	defer a.Close()
+	header := w.Header()
+	CopyHeader(header, a.Header)
+	a.writeRefusal(header)
+	if a.Rest == nil {
+		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(a.Body); err != nil {
+		return
+	}
+	if a.Rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, a.Rest); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (a Answer) writeRefusal(header http.Header) {
+	if a.Result.Outcome != "" {
+		header.Set(OutcomeHeader, string(a.Result.Outcome))
+	}
+	if a.Result.Run != "" {
+		header.Set(RunHeader, string(a.Result.Run))
+	}
+	if a.Result.Reason == "" {
+		return
+	}
+	header.Set(ReasonHeader, string(a.Result.Reason))
+	if a.Result.RetryAfterMs > 0 {
+		header.Set(retryHeader, strconv.FormatInt(ceilSeconds(a.Result.RetryAfterMs), 10))
+		header.Set(retryMsHeader, strconv.FormatInt(int64(a.Result.RetryAfterMs), 10))
+	}
+}
+
+func ceilSeconds(ms clock.Millis) int64 {
+	const second = 1000
+	return int64(ms+second-1) / second
+}
+
+// Read reads an HTTP response into an answer, buffering at most limit bytes of its body.
+// It returns an error if the body ends before its announced length or end.
+func Read(response *http.Response, limit int64) (Answer, error) {
+	a := Answer{Status: response.StatusCode, Header: response.Header}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		_ = response.Body.Close()
+		return Answer{}, err
+	}
+	a.Body = body
+	if int64(len(body)) > limit {
+		a.Rest = response.Body
+		return a, nil
+	}
+	return a, response.Body.Close()
+}
+
+// Truncated reports whether err means that a body ended early.
+func Truncated(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF)
+}
--- /dev/null
+++ b/coltsfootd/cmd/cmd.go
@@ -0,0 +1,83 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"coltsfootusher.example/coltsfootd/node"
+	"coltsfootusher.example/coltsfootd/setting"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// Exit codes of the program.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+const help = `The node of coltsfootusher, one in the slot of each target VM.
+
+Examples:
+  coltsfootd check examples/sablons/coltsfootd.yaml
+  coltsfootd run --config examples/sablons/coltsfootd.yaml`
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("coltsfootd", help)
+	app.Version(Version)
+	app.HelpFlag.Short('h')
+	app.UsageWriter(stdout)
+	app.ErrorWriter(stderr)
+	// Exit codes are returned, so that deferred calls run.
+	exited := -1
+	app.Terminate(func(code int) { exited = code })
+
+	runCommand := app.Command("run", "Run the node until it is told to stop (SIGTERM or SIGINT).")
+	runConfig := runCommand.Flag("config", "Settings file (YAML).").Required().ExistingFile()
+	checkCommand := app.Command("check", "Check a settings file and exit.")
+	checkConfig := checkCommand.Arg("file", "Settings file (YAML).").Required().ExistingFile()
+
+	command, err := app.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "coltsfootd: %v, try --help\n", err)
+		return exitUsage
+	}
+	switch command {
+	case runCommand.FullCommand():
+		err = run(*runConfig, stdout, stderr)
+	case checkCommand.FullCommand():
+		if _, err = setting.Load(*checkConfig); err == nil {
+			_, _ = fmt.Fprintf(stdout, "%s: settings are valid\n", *checkConfig)
+		}
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "coltsfootd: %v\n", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func run(path string, stdout, stderr io.Writer) error {
+	settings, err := setting.Load(path)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(settings, stderr)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return n.Run(ctx, stdout)
+}
--- /dev/null
+++ b/coltsfootd/control/doc.go
@@ -0,0 +1,2 @@
+// Package control keeps the node's view of the published values and of its peers.
+package control
--- /dev/null
+++ b/coltsfootd/decision/decision.go
@@ -0,0 +1,106 @@
+package decision
+
+import (
+	"expvar"
+	"sync"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+)
+
+// Decision is one routing or admission decision with the facts that it used.
+type Decision struct {
+	AtMs      clock.Millis `json:"atMs"`
+	Part      string       `json:"part"`
+	RequestID string       `json:"requestId"`
+	Account   string       `json:"account,omitempty"`
+	Route     string       `json:"route,omitempty"`
+	Action    string       `json:"action"`
+	Node      string       `json:"node,omitempty"`
+	Reason    call.Reason  `json:"reason,omitempty"`
+	Attempt   int          `json:"attempt"`
+	Depth     int          `json:"depth"`
+	// WaitMs is the estimated or measured wait in a queue.
+	WaitMs clock.Millis `json:"waitMs"`
+	// FactAgeMs is the age of the facts on which the decision rests; -1 when none were known.
+	FactAgeMs clock.Millis `json:"factAgeMs"`
+	// ElapsedMs is the time that the whole call took, for final decisions.
+	ElapsedMs clock.Millis `json:"elapsedMs"`
+}
+
+// Recorder keeps recent decisions; it is safe for concurrent use.
+type Recorder struct {
+	logger    log.Logger
+	perSecond int
+	omitted   *expvar.Int
+	refusals  *expvar.Map
+
+	mu      sync.Mutex
+	ring    []Decision
+	next    int
+	second  clock.Millis
+	written int
+}
+
+// New returns a recorder that keeps size decisions and writes at most perSecond log lines a second.
+func New(logger log.Logger, metrics *expvar.Map, size, perSecond int) *Recorder {
+	r := &Recorder{logger: logger, perSecond: perSecond, ring: make([]Decision, 0, size)}
+	r.omitted = new(expvar.Int)
+	r.refusals = new(expvar.Map).Init()
+	for _, reason := range call.Reasons() {
+		r.refusals.Add(string(reason), 0)
+	}
+	metrics.Set("decisionLinesOmitted", r.omitted)
+	metrics.Set("refusals", r.refusals)
+	return r
+}
+
+// Record stores the decision, counts its reason and writes its log line unless the line is sampled out.
+func (r *Recorder) Record(d Decision) {
+	if d.Reason != "" {
+		r.refusals.Add(string(d.Reason), 1)
+	}
+	if !r.store(d) {
+		r.omitted.Add(1)
+		return
+	}
+	_ = level.Info(r.logger).Log("part", d.Part, "msg", d.Action, "request", d.RequestID, "account", d.Account,
+		"route", d.Route, "to", d.Node, "reason", d.Reason, "attempt", d.Attempt, "depth", d.Depth,
+		"waitMs", int64(d.WaitMs), "factAgeMs", int64(d.FactAgeMs), "elapsedMs", int64(d.ElapsedMs))
+}
+
+// store reports whether the decision's log line is within the sampling limit.
+func (r *Recorder) store(d Decision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < cap(r.ring) {
+		r.ring = append(r.ring, d)
+	} else if len(r.ring) > 0 {
+		r.ring[r.next] = d
+		r.next = (r.next + 1) % len(r.ring)
+	}
+	const second = 1000
+	if d.AtMs-r.second >= second {
+		r.second = d.AtMs
+		r.written = 0
+	}
+	r.written++
+	return r.written <= r.perSecond
+}
+
+// Explain returns the remembered decisions about a request, oldest first.
+func (r *Recorder) Explain(requestID string) []Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Decision
+	for i := range r.ring {
+		d := r.ring[(r.next+i)%len(r.ring)]
+		if d.RequestID == requestID {
+			found = append(found, d)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/coltsfootd/egress/egress.go
@@ -0,0 +1,145 @@
+package egress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coltsfootusher.example/coltsfootd/answer"
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/gateway"
+	"coltsfootusher.example/coltsfootd/inflight"
+	"coltsfootusher.example/coltsfootd/passage"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/route"
+)
+
+// OperationKeyHeader lets a target name the position of a once-only inner call, so that a repeat is recognised.
+const OperationKeyHeader = "Operation-Key"
+
+// Snapshots yields the published values in force.
+type Snapshots interface {
+	Current() *fleet.Snapshot
+}
+
+// Operations derives the ids of once-only inner calls.
+type Operations interface {
+	ChildID(parent *inflight.Parent, c call.Call, key string) (string, call.Reason)
+}
+
+// Sender sends calls to targets.
+type Sender interface {
+	Send(ctx context.Context, r passage.Request) answer.Answer
+}
+
+// Config are the dependencies of a Handler.
+type Config struct {
+	Node       string
+	Clock      clock.Clock
+	Snapshots  Snapshots
+	Operations Operations
+	Sender     Sender
+	InFlight   *inflight.Table
+	Recorder   *decision.Recorder
+	MaxBody    int64
+}
+
+// Handler serves the egress address of a node.
+type Handler struct {
+	Config
+}
+
+// New returns a handler with these dependencies.
+func New(config Config) *Handler {
+	return &Handler{Config: config}
+}
+
+// ServeHTTP handles one inner call of the local target.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	parent, ok := h.InFlight.Get(r.Header.Get(gateway.ContextHeader))
+	if !ok {
+		h.refuse(w, call.Call{Path: r.URL.Path}, call.ReasonContextUnknown)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBody))
+	if err != nil {
+		h.refuse(w, parent.Call, call.ReasonBodyTooLarge)
+		return
+	}
+	c, reason := h.child(parent, r, body)
+	if reason != "" {
+		h.refuse(w, c, reason)
+		return
+	}
+	deadline := h.deadline(parent, r)
+	ctx, cancel := h.bound(r.Context(), parent, deadline)
+	defer cancel()
+	header := make(http.Header, len(r.Header))
+	answer.CopyHeader(header, r.Header)
+	header.Del("Authorization")
+	a := h.Sender.Send(ctx, passage.Request{
+		Call: c, Header: header, Body: body, Deadline: deadline, Allowance: parent.Allowance,
+	})
+	a.Write(w)
+}
+
+func (h *Handler) child(parent *inflight.Parent, r *http.Request, body []byte) (call.Call, call.Reason) {
+	c := call.Call{
+		RequestID: parent.Call.RequestID, Account: parent.Call.Account, Depth: parent.Call.Depth + 1,
+		Method: r.Method, Path: r.URL.RequestURI(),
+	}
+	found, ok := h.Snapshots.Current().Route(r.URL.Path)
+	if !ok {
+		return c, call.ReasonRouteUnknown
+	}
+	c.Route, c.Service, c.Class = found.Prefix, found.Service, found.Class
+	c.Fingerprint = xxhash.Sum64String(strconv.FormatUint(parent.Call.Fingerprint, 10)+c.Method+c.Path) ^ xxhash.Sum64(body)
+	if c.Class != route.OnceOnly {
+		return c, ""
+	}
+	if parent.Call.Class != route.OnceOnly {
+		return c, call.ReasonOnceOnlyInLookup
+	}
+	id, reason := h.Operations.ChildID(parent, c, r.Header.Get(OperationKeyHeader))
+	c.OperationID = id
+	return c, reason
+}
+
+// deadline is the parent's, or an earlier one that the target asks for.
+func (h *Handler) deadline(parent *inflight.Parent, r *http.Request) clock.Millis {
+	ms, err := strconv.ParseInt(r.Header.Get(gateway.TimeoutHeader), 10, 64)
+	if err != nil || ms <= 0 {
+		return parent.Deadline
+	}
+	return min(parent.Deadline, h.Clock.Now()+clock.Millis(ms))
+}
+
+// bound returns a context that ends with the target's own request, the deadline or the parent's request.
+func (h *Handler) bound(ctx context.Context, parent *inflight.Parent, deadline clock.Millis) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(ctx, max(0, deadline-h.Clock.Now()).Duration())
+	stop := make(chan struct{})
+	go func() {
+		select {
+		case <-parent.Done:
+			cancel()
+		case <-stop:
+		}
+	}()
+	return ctx, func() {
+		close(stop)
+		cancel()
+	}
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, c call.Call, reason call.Reason) {
+	h.Recorder.Record(decision.Decision{
+		AtMs: h.Clock.Now(), Part: "egress", RequestID: c.RequestID, Account: c.Account, Route: c.Route,
+		Action: "inner call refused", Node: h.Node, Reason: reason, Depth: c.Depth, FactAgeMs: -1,
+	})
+	answer.Refuse(reason).Write(w)
+}
--- /dev/null
+++ b/coltsfootd/entry/entry.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coltsfootusher.example/coltsfootd/answer"
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/gateway"
+	"coltsfootusher.example/coltsfootd/passage"
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/preset"
+	"coltsfootusher.example/core/retry"
+	"coltsfootusher.example/core/route"
+)
+
+// Snapshots yields the published values in force.
+type Snapshots interface {
+	Current() *fleet.Snapshot
+}
+
+// Holder delays requests while the node's facts are unconfirmed.
+type Holder interface {
+	Wait(ctx context.Context) error
+}
+
+// Limiter takes one token of the client account's fleet-wide limit.
+type Limiter interface {
+	// Admit reports whether a token was available; if not, retryAfter says when one is expected.
+	Admit(ctx context.Context, a account.Account) (ok bool, retryAfter clock.Millis)
+}
+
+// Operations identifies once-only operations and answers questions about them.
+type Operations interface {
+	// Identify returns the operation id of a request, or the reason why it has none that is valid.
+	Identify(header http.Header, c call.Call) (id string, reason call.Reason)
+	// Seal makes sure that the operation never starts and returns its outcome.
+	Seal(ctx context.Context, c call.Call) call.Outcome
+	// ServeHTTP serves the paths below OperationsPath; the account is authenticated.
+	Serve(w http.ResponseWriter, r *http.Request, accountID string)
+}
+
+// Sender sends calls to targets.
+type Sender interface {
+	Send(ctx context.Context, r passage.Request) answer.Answer
+}
+
+// OperationsPath is the prefix of the paths at which callers get and query operation ids.
+const OperationsPath = "/.coltsfoot/operations"
+
+const requestIDBytes = 12
+
+// Config are the dependencies of a Handler.
+type Config struct {
+	Node       string
+	Clock      clock.Clock
+	Snapshots  Snapshots
+	Holder     Holder
+	Limiter    Limiter
+	Operations Operations
+	Sender     Sender
+	Recorder   *decision.Recorder
+	MaxBody    int64
+}
+
+// Handler serves the entry address of a node.
+type Handler struct {
+	Config
+	leaving atomic.Bool
+}
+
+// New returns a handler with these dependencies.
+func New(config Config) *Handler {
+	return &Handler{Config: config}
+}
+
+// SetLeaving makes the handler refuse new calls and close the callers' connections.
+func (h *Handler) SetLeaving() {
+	h.leaving.Store(true)
+}
+
+// ServeHTTP handles one call of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := h.Clock.Now()
+	requestID, err := newRequestID()
+	if err != nil {
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set(answer.RequestHeader, requestID)
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	a := h.handle(w, r, requestID, received)
+	if a == nil {
+		return
+	}
+	a.Write(w)
+}
+
+// handle returns nil if the response was written already.
+func (h *Handler) handle(w http.ResponseWriter, r *http.Request, requestID string, received clock.Millis) *answer.Answer {
+	c := call.Call{RequestID: requestID, Method: r.Method, Path: r.URL.RequestURI()}
+	if h.leaving.Load() {
+		return h.refuse(c, call.ReasonLeaving, received)
+	}
+	if err := h.Holder.Wait(r.Context()); err != nil {
+		return h.refuse(c, call.ReasonNotReady, received)
+	}
+	snapshot := h.Snapshots.Current()
+	if isOperationsPath(r.URL.Path) {
+		a, reason := authenticate(snapshot, r, route.Route{})
+		if reason != "" {
+			return h.refuse(c, reason, received)
+		}
+		h.Operations.Serve(w, r, a.ID)
+		return nil
+	}
+	return h.handleCall(snapshot, r, c, received)
+}
+
+func (h *Handler) handleCall(snapshot *fleet.Snapshot, r *http.Request, c call.Call, received clock.Millis) *answer.Answer {
+	found, ok := snapshot.Route(r.URL.Path)
+	if !ok {
+		return h.refuse(c, call.ReasonRouteUnknown, received)
+	}
+	c.Route, c.Service, c.Class = found.Prefix, found.Service, found.Class
+	acct, reason := authenticate(snapshot, r, found)
+	if reason != "" {
+		return h.refuse(c, reason, received)
+	}
+	c.Account = acct.ID
+	body, reason := readBody(r, h.MaxBody)
+	if reason != "" {
+		return h.refuse(c, reason, received)
+	}
+	if exposesKey(snapshot, r, body) {
+		return h.refuse(c, call.ReasonKeyExposed, received)
+	}
+	c.Fingerprint = fingerprint(c, body)
+	if c.Class == route.OnceOnly {
+		if c.OperationID, reason = h.Operations.Identify(r.Header, c); reason != "" {
+			return h.refuse(c, reason, received)
+		}
+	}
+	return h.send(r, c, acct, snapshot.Presets.InForce(), found, body, received)
+}
+
+func (h *Handler) send(
+	r *http.Request, c call.Call, acct account.Account, p preset.Preset, found route.Route, body []byte, received clock.Millis,
+) *answer.Answer {
+	timeout, reason := timeoutOf(r, found, p)
+	if reason != "" {
+		return h.refuse(c, reason, received)
+	}
+	if reason := closed(p, found); reason != "" {
+		return h.refuse(c, reason, received)
+	}
+	c.TimeoutMs = timeout
+	ctx, cancel := context.WithTimeout(r.Context(), timeout.Duration())
+	a := h.admitAndSend(ctx, r, c, acct, p, body, received)
+	if a.Rest == nil {
+		cancel()
+		return a
+	}
+	// The rest of a large body is still to be copied, so the context ends with it.
+	a.Rest = closeWith(a.Rest, cancel)
+	return a
+}
+
+func (h *Handler) admitAndSend(
+	ctx context.Context, r *http.Request, c call.Call, acct account.Account, p preset.Preset, body []byte, received clock.Millis,
+) *answer.Answer {
+	if acct.ID != "" && p.Policy == preset.On {
+		if ok, retryAfter := h.Limiter.Admit(ctx, acct); !ok {
+			a := h.refuse(c, call.ReasonOverRate, received)
+			a.Result.RetryAfterMs = retryAfter
+			return a
+		}
+	}
+	a := h.Sender.Send(ctx, passage.Request{
+		Call: c, Header: forwardedHeader(r.Header), Body: body,
+		Deadline: received + c.TimeoutMs, Allowance: retry.NewAllowance(p.RetryAllowance),
+	})
+	a.Result.Node = h.Node
+	h.record(c, "call finished", a.Result.Reason, received)
+	return &a
+}
+
+// refuse returns a refusal; a once-only call with a valid id is sealed first, so that "not run" stays true.
+func (h *Handler) refuse(c call.Call, reason call.Reason, received clock.Millis) *answer.Answer {
+	a := answer.Refuse(reason)
+	if c.Class == route.OnceOnly {
+		a.Result.Outcome = h.outcomeOfRefusal(c, reason)
+		if a.Result.Outcome != call.OutcomeNotRun {
+			a.Result.Run = call.MaybeRun
+		}
+	}
+	h.record(c, "call refused by entry", reason, received)
+	return &a
+}
+
+func (h *Handler) outcomeOfRefusal(c call.Call, reason call.Reason) call.Outcome {
+	switch {
+	case c.OperationID != "":
+		// The caller may have gone; the seal must be placed all the same.
+		return h.Operations.Seal(context.Background(), c)
+	case reason == call.ReasonOperationIDRequired || reason == call.ReasonOperationIDInvalid:
+		return call.OutcomeNotRun
+	default:
+		return call.Unknown
+	}
+}
+
+func (h *Handler) record(c call.Call, action string, reason call.Reason, received clock.Millis) {
+	now := h.Clock.Now()
+	h.Recorder.Record(decision.Decision{
+		AtMs: now, Part: "entry", RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
+		Node: h.Node, Reason: reason, FactAgeMs: -1, ElapsedMs: now - received,
+	})
+}
+
+func closed(p preset.Preset, r route.Route) call.Reason {
+	if p.Closes(r.Prefix) {
+		return call.ReasonRouteClosed
+	}
+	if r.Class == route.Lookup && !p.LookupsAdmitted {
+		return call.ReasonLookupsClosed
+	}
+	return ""
+}
+
+// timeoutOf returns the smallest of the caller's, the route's and the preset's bound.
+func timeoutOf(r *http.Request, found route.Route, p preset.Preset) (clock.Millis, call.Reason) {
+	timeout := p.DefaultDeadlineMs
+	if found.TimeoutMs > 0 {
+		timeout = found.TimeoutMs
+	}
+	given := r.Header.Get(gateway.TimeoutHeader)
+	if given == "" {
+		return timeout, ""
+	}
+	ms, err := strconv.ParseInt(given, 10, 64)
+	if err != nil {
+		return 0, call.ReasonMalformed
+	}
+	if ms <= 0 {
+		return 0, call.ReasonDeadlineExceeded
+	}
+	return min(timeout, clock.Millis(ms)), ""
+}
+
+func fingerprint(c call.Call, body []byte) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{c.Account, c.Method, c.Path} {
+		_, _ = digest.WriteString(strconv.Itoa(len(part)) + ":" + part)
+	}
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+func newRequestID() (string, error) {
+	var raw [requestIDBytes]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return "", err
+	}
+	return hex.EncodeToString(raw[:]), nil
+}
--- /dev/null
+++ b/coltsfootd/entry/key.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/route"
+)
+
+const bearerScheme = "bearer"
+
+// keyOf returns the caller's key; ok is false if there is not exactly one well-formed Authorization header.
+func keyOf(r *http.Request) (key string, present, ok bool) {
+	values := r.Header.Values("Authorization")
+	if len(values) == 0 {
+		return "", false, true
+	}
+	if len(values) > 1 {
+		return "", true, false
+	}
+	scheme, key, found := strings.Cut(strings.TrimSpace(values[0]), " ")
+	key = strings.TrimSpace(key)
+	if !found || !strings.EqualFold(scheme, bearerScheme) || key == "" || strings.ContainsAny(key, " \t,") {
+		return "", true, false
+	}
+	return key, true, true
+}
+
+// authenticate returns the client account for which the request runs; on open routes it is the unnamed account.
+func authenticate(snapshot *fleet.Snapshot, r *http.Request, found route.Route) (account.Account, call.Reason) {
+	if found.Open {
+		return account.Account{}, ""
+	}
+	key, present, ok := keyOf(r)
+	if !ok {
+		return account.Account{}, call.ReasonMalformed
+	}
+	if !present {
+		return account.Account{}, call.ReasonKeyMissing
+	}
+	a, known := snapshot.AccountByKey(key)
+	if !known {
+		return account.Account{}, call.ReasonKeyUnknown
+	}
+	if !found.Allows(a.ID) {
+		return account.Account{}, call.ReasonAccountNotAllowed
+	}
+	return a, ""
+}
+
+// keyParameters are query parameters that by convention carry keys; they are never passed on.
+var keyParameters = map[string]bool{
+	"api_key": true, "apikey": true, "api-key": true, "access_token": true, "authorization": true,
+}
+
+// exposesKey reports whether the path, query, a forwarded header or the body would show a key to the target.
+// Of keys other than the caller's own only whole values are recognised, by their published hashes.
+func exposesKey(snapshot *fleet.Snapshot, r *http.Request, body []byte) bool {
+	if exposesPublishedKey(snapshot, r) {
+		return true
+	}
+	for _, value := range r.Header.Values("Authorization") {
+		_, key, found := strings.Cut(strings.TrimSpace(value), " ")
+		if !found {
+			key = value
+		}
+		if key = strings.TrimSpace(key); key != "" && contains(r, body, key) {
+			return true
+		}
+	}
+	return false
+}
+
+func exposesPublishedKey(snapshot *fleet.Snapshot, r *http.Request) bool {
+	for name, values := range r.URL.Query() {
+		if keyParameters[strings.ToLower(name)] {
+			return true
+		}
+		for _, value := range values {
+			if _, known := snapshot.AccountByKey(value); known {
+				return true
+			}
+		}
+	}
+	for segment := range strings.SplitSeq(r.URL.Path, "/") {
+		if _, known := snapshot.AccountByKey(segment); known {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(r *http.Request, body []byte, key string) bool {
+	if bytes.Contains(body, []byte(key)) {
+		return true
+	}
+	uri := r.URL.RequestURI()
+	if strings.Contains(uri, key) {
+		return true
+	}
+	if plain, err := url.QueryUnescape(uri); err == nil && strings.Contains(plain, key) {
+		return true
+	}
+	for _, values := range forwardedHeader(r.Header) {
+		for _, value := range values {
+			if strings.Contains(value, key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// forwarded are the request headers that targets receive. All others end at the entry, because a header that
+// is not known here may carry a key.
+var forwarded = map[string]bool{
+	"Accept":            true,
+	"Accept-Language":   true,
+	"Content-Type":      true,
+	"Content-Language":  true,
+	"Content-Encoding":  true,
+	"If-Match":          true,
+	"If-None-Match":     true,
+	"If-Modified-Since": true,
+	"Range":             true,
+	"Traceparent":       true,
+	"Tracestate":        true,
+	"User-Agent":        true,
+}
+
+func forwardedHeader(header http.Header) http.Header {
+	kept := make(http.Header, len(forwarded))
+	for name, values := range header {
+		if forwarded[name] {
+			kept[name] = values
+		}
+	}
+	return kept
+}
+
+// readBody reads the whole body, because a lookup may have to be sent again.
+func readBody(r *http.Request, limit int64) ([]byte, call.Reason) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, ""
+	}
+	if r.ContentLength > limit {
+		return nil, call.ReasonBodyTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		if errors.Is(err, r.Context().Err()) {
+			return nil, call.ReasonCallerGone
+		}
+		return nil, call.ReasonMalformed
+	}
+	if int64(len(body)) > limit {
+		return nil, call.ReasonBodyTooLarge
+	}
+	return body, ""
+}
+
+func isOperationsPath(path string) bool {
+	return path == OperationsPath || strings.HasPrefix(path, OperationsPath+"/")
+}
+
+type restCloser struct {
+	io.ReadCloser
+	after func()
+}
+
+func closeWith(rest io.ReadCloser, after func()) io.ReadCloser {
+	return restCloser{rest, after}
+}
+
+// Close closes the body and then calls the function.
+func (c restCloser) Close() error {
+	defer c.after()
+	return c.ReadCloser.Close()
+}
--- /dev/null
+++ b/coltsfootd/gateway/admission.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/gate"
+)
+
+// tickInterval is how often waiting calls are checked for their deadlines.
+const tickInterval = 5 * time.Millisecond
+
+// Admission makes the gate's state machine usable by concurrent requests.
+type Admission struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	gate    *gate.Gate
+	waiting map[uint64]chan gate.Decision
+	nextID  uint64
+}
+
+// NewAdmission returns the admission control round g.
+func NewAdmission(g *gate.Gate, c clock.Clock) *Admission {
+	return &Admission{clock: c, gate: g, waiting: make(map[uint64]chan gate.Decision)}
+}
+
+// Run expires waiting calls until ctx ends.
+func (a *Admission) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision { return g.Tick(now) })
+		}
+	}
+}
+
+// Update changes the gate and delivers the decisions that follow.
+func (a *Admission) Update(change func(g *gate.Gate, now clock.Millis) []gate.Decision) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deliver(change(a.gate, a.clock.Now()))
+}
+
+// Enter waits until the gate has decided about the request or ctx ends.
+func (a *Admission) Enter(ctx context.Context, r gate.Request) gate.Decision {
+	decided := make(chan gate.Decision, 1)
+	a.mu.Lock()
+	a.nextID++
+	r.ID = a.nextID
+	a.waiting[r.ID] = decided
+	a.deliver(a.gate.Offer(r, a.clock.Now()))
+	a.mu.Unlock()
+	select {
+	case d := <-decided:
+		return d
+	default:
+	}
+	select {
+	case d := <-decided:
+		return d
+	case <-ctx.Done():
+		return a.cancel(r.ID, decided)
+	}
+}
+
+// cancel withdraws a waiting request; if the gate admitted it meanwhile, its slot is given back.
+func (a *Admission) cancel(id uint64, decided chan gate.Decision) gate.Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	select {
+	case d := <-decided:
+		if d.Admitted {
+			a.deliver(a.gate.Done(id, gate.Sample{Cancelled: true}, now))
+		}
+	default:
+		delete(a.waiting, id)
+		a.deliver(a.gate.Cancel(id, now))
+	}
+	return gate.Decision{ID: id, Reason: call.ReasonCallerGone}
+}
+
+// Leave reports that an admitted request has ended.
+func (a *Admission) Leave(id uint64, s gate.Sample) {
+	a.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision { return g.Done(id, s, now) })
+}
+
+// Load returns the state of the gate.
+func (a *Admission) Load() call.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Load()
+}
+
+func (a *Admission) deliver(decisions []gate.Decision) {
+	for _, d := range decisions {
+		if decided, ok := a.waiting[d.ID]; ok {
+			delete(a.waiting, d.ID)
+			decided <- d
+		}
+	}
+}
--- /dev/null
+++ b/coltsfootd/gateway/gateway.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"coltsfootusher.example/coltsfootd/answer"
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/inflight"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/gate"
+	"coltsfootusher.example/core/preset"
+	"coltsfootusher.example/core/retry"
+	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/service"
+)
+
+// Snapshots yields the published values in force.
+type Snapshots interface {
+	Current() *fleet.Snapshot
+}
+
+// Holder delays requests while the node's facts are unconfirmed.
+type Holder interface {
+	Wait(ctx context.Context) error
+}
+
+// OnceOnly runs once-only operations at most once and remembers their outcomes.
+type OnceOnly interface {
+	Run(ctx context.Context, c call.Call, execute func(ctx context.Context) answer.Answer) answer.Answer
+}
+
+// Suspects recognises requests that crash targets.
+type Suspects interface {
+	// Enter reports whether the request may run; done must be called with whether the target died.
+	Enter(ctx context.Context, c call.Call) (done func(died bool), ok bool)
+}
+
+// Config are the dependencies of a Gateway.
+type Config struct {
+	Node        string
+	Incarnation uint64
+	Service     string
+	Clock       clock.Clock
+	Snapshots   Snapshots
+	Holder      Holder
+	OnceOnly    OnceOnly
+	Suspects    Suspects
+	Admission   *Admission
+	Target      *Target
+	InFlight    *inflight.Table
+	Recorder    *decision.Recorder
+}
+
+// Gateway is the only way to the local target.
+type Gateway struct {
+	Config
+}
+
+// New returns a gateway with these dependencies.
+func New(config Config) *Gateway {
+	return &Gateway{Config: config}
+}
+
+// Serve admits the call, runs it at the local target and returns the checked answer.
+func (g *Gateway) Serve(ctx context.Context, c call.Call, header http.Header, body []byte) answer.Answer {
+	received := g.Clock.Now()
+	a := g.serve(ctx, c, header, body, received)
+	a.Result.Node = g.Node
+	a.Result.Incarnation = g.Incarnation
+	a.Result.Load = g.Admission.Load()
+	if !a.OK() {
+		g.record(c, "call refused by gate", a.Result.Reason, received)
+	}
+	return a
+}
+
+func (g *Gateway) serve(ctx context.Context, c call.Call, header http.Header, body []byte, received clock.Millis) answer.Answer {
+	if c.Service != g.Service {
+		return refuse(c, call.ReasonNoTarget)
+	}
+	if c.TimeoutMs <= 0 {
+		return refuse(c, call.ReasonDeadlineExceeded)
+	}
+	deadline := received + c.TimeoutMs
+	ctx, cancel := context.WithTimeout(ctx, c.TimeoutMs.Duration())
+	defer cancel()
+	if err := g.Holder.Wait(ctx); err != nil {
+		return refuse(c, call.ReasonConfirmTimeout)
+	}
+	execute := func(ctx context.Context) answer.Answer {
+		return g.admit(ctx, c, header, body, deadline)
+	}
+	if c.Class == route.OnceOnly {
+		// A started operation runs to its end although its caller has gone, so that its outcome is known.
+		return g.OnceOnly.Run(context.WithoutCancel(ctx), c, execute)
+	}
+	return execute(ctx)
+}
+
+func (g *Gateway) admit(ctx context.Context, c call.Call, header http.Header, body []byte, deadline clock.Millis) answer.Answer {
+	ctx, cancel := context.WithTimeout(ctx, max(0, deadline-g.Clock.Now()).Duration())
+	defer cancel()
+	leave, ok := g.Suspects.Enter(ctx, c)
+	if !ok {
+		return refuse(c, call.ReasonPoison)
+	}
+	died := false
+	defer func() { leave(died) }()
+
+	entered := g.Clock.Now()
+	d := g.Admission.Enter(ctx, g.request(c, entered, deadline))
+	if !d.Admitted {
+		a := refuse(c, d.Reason)
+		a.Result.RetryAfterMs = d.RetryAfterMs
+		return a
+	}
+	g.record(c, "call admitted", "", entered)
+	a, targetDied := g.run(ctx, d.ID, c, header, body, deadline)
+	died = targetDied
+	return a
+}
+
+func (g *Gateway) request(c call.Call, now, deadline clock.Millis) gate.Request {
+	weight := 1.0
+	if a, ok := g.Snapshots.Current().Account(c.Account); ok && a.Weight > 0 {
+		weight = a.Weight
+	}
+	return gate.Request{
+		Account: c.Account, Weight: weight, Class: c.Class, Depth: c.Depth, Arrival: now, Deadline: deadline,
+	}
+}
+
+func (g *Gateway) run(
+	ctx context.Context, id uint64, c call.Call, header http.Header, body []byte, deadline clock.Millis,
+) (answer.Answer, bool) {
+	done := make(chan struct{})
+	defer close(done)
+	parent := &inflight.Parent{Call: c, Deadline: deadline, Allowance: retry.NewAllowance(c.Allowance), Done: done}
+	handle, err := g.InFlight.Add(parent)
+	if err != nil {
+		g.Admission.Leave(id, gate.Sample{Cancelled: true})
+		return refuse(c, call.ReasonInternal), false
+	}
+	defer g.InFlight.Remove(handle)
+
+	start := time.Now()
+	a := g.Target.Do(ctx, c, handle, header, body, deadline-g.Clock.Now())
+	died := a.Result.Reason == call.ReasonTargetFailed
+	g.Admission.Leave(id, gate.Sample{
+		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
+		Failed:    !a.OK() || a.Status >= http.StatusInternalServerError,
+		Cancelled: a.Result.Reason == call.ReasonCallerGone,
+	})
+	a.Result.AllowanceLeft = parent.Allowance.TakeAll()
+	return a, died
+}
+
+func (g *Gateway) record(c call.Call, action string, reason call.Reason, since clock.Millis) {
+	now := g.Clock.Now()
+	g.Recorder.Record(decision.Decision{
+		AtMs: now, Part: "gate", RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
+		Node: g.Node, Reason: reason, Attempt: c.Attempt, Depth: c.Depth, WaitMs: now - since,
+	})
+}
+
+// refuse returns a refusal that gives the call's whole allowance back.
+func refuse(c call.Call, reason call.Reason) answer.Answer {
+	a := answer.Refuse(reason)
+	a.Result.AllowanceLeft = c.Allowance
+	return a
+}
+
+// NewGate returns a gate that admits nothing until it is configured.
+func NewGate(seed uint64, now clock.Millis) *gate.Gate {
+	return gate.New(gate.Config{Enabled: true}, gate.NewAdaptive(1), rand.New(rand.NewPCG(seed, seed)), now)
+}
+
+// Configure returns the change that applies the published service and the preset in force to a gate.
+func Configure(svc service.Service, p preset.Preset) func(g *gate.Gate, now clock.Millis) []gate.Decision {
+	return func(g *gate.Gate, now clock.Millis) []gate.Decision {
+		return g.Configure(gate.Config{
+			Slots: svc.SlotsPerTarget, QueueLimit: p.QueueLimit, QueueTimeoutMs: p.QueueTimeoutMs,
+			ColdStartMs: svc.ColdStartMs, Enabled: p.Policy == preset.On,
+		}, now)
+	}
+}
--- /dev/null
+++ b/coltsfootd/inflight/inflight.go
@@ -0,0 +1,111 @@
+package inflight
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/retry"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("inflight")
+
+const handleBytes = 16
+
+// Parent is a request that the local target is running.
+type Parent struct {
+	Call     call.Call
+	Deadline clock.Millis
+	// Allowance holds the retries that the request and its inner calls may still make.
+	Allowance *retry.Allowance
+	// Done is closed when the request has ended.
+	Done <-chan struct{}
+
+	mu        sync.Mutex
+	positions map[string]int
+	children  map[string]string
+}
+
+// Position returns the number of earlier inner calls with the same service and path, as a text.
+func (p *Parent) Position(service, path string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.positions == nil {
+		p.positions = make(map[string]int)
+	}
+	key := service + " " + path
+	position := p.positions[key]
+	p.positions[key]++
+	return key + " " + strconv.Itoa(position)
+}
+
+// ChildID returns the operation id kept under the position; derive makes it the first time.
+// The id stays the same while the parent is in flight, so that a repeated inner call reaches the same home.
+func (p *Parent) ChildID(position string, derive func() (string, error)) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if id, ok := p.children[position]; ok {
+		return id, nil
+	}
+	id, err := derive()
+	if err != nil {
+		return "", err
+	}
+	if p.children == nil {
+		p.children = make(map[string]string)
+	}
+	p.children[position] = id
+	return id, nil
+}
+
+// Table maps handles to requests in flight; it is safe for concurrent use.
+type Table struct {
+	mu      sync.RWMutex
+	parents map[string]*Parent
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{parents: make(map[string]*Parent)}
+}
+
+// Add stores the request and returns the handle under which its target may make inner calls.
+func (t *Table) Add(p *Parent) (string, error) {
+	var raw [handleBytes]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return "", Error.Wrap(err)
+	}
+	handle := hex.EncodeToString(raw[:])
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.parents[handle] = p
+	return handle, nil
+}
+
+// Get returns the request in flight under the handle.
+func (t *Table) Get(handle string) (*Parent, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	p, ok := t.parents[handle]
+	return p, ok
+}
+
+// Remove ends the validity of the handle.
+func (t *Table) Remove(handle string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.parents, handle)
+}
+
+// Len returns the number of requests in flight.
+func (t *Table) Len() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.parents)
+}
--- /dev/null
+++ b/coltsfootd/logging/doc.go
@@ -0,0 +1,2 @@
+// Package logging builds the structured logger of the node.
+package logging
--- /dev/null
+++ b/coltsfootd/logging/logging.go
@@ -0,0 +1,24 @@
+package logging
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// New returns a logger in the format "logfmt" or "json" that drops lines below the level.
+func New(w io.Writer, format, minimum, node string) log.Logger {
+	w = log.NewSyncWriter(w)
+	logger := log.NewLogfmtLogger(w)
+	if format == "json" {
+		logger = log.NewJSONLogger(w)
+	}
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(minimum, level.InfoValue())))
+	return log.With(logger, "ts", log.DefaultTimestampUTC, "node", node)
+}
+
+// Part returns a logger whose lines carry the fixed prefix of a part of the node.
+func Part(logger log.Logger, part string) log.Logger {
+	return log.With(logger, "part", part)
+}
--- a/coltsfootd/main.go
+++ b/coltsfootd/main.go
@@ -1,4 +1,12 @@
-// Command coltsfootd is part of coltsfootusher.
+// Command coltsfootd is the node that runs in the slot of each target VM.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"coltsfootusher.example/coltsfootd/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/coltsfootd/node/node.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/coltsfootd/control"
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/egress"
+	"coltsfootusher.example/coltsfootd/entry"
+	"coltsfootusher.example/coltsfootd/gateway"
+	"coltsfootusher.example/coltsfootd/inflight"
+	"coltsfootusher.example/coltsfootd/logging"
+	"coltsfootusher.example/coltsfootd/operations"
+	"coltsfootusher.example/coltsfootd/operator"
+	"coltsfootusher.example/coltsfootd/passage"
+	"coltsfootusher.example/coltsfootd/peerserver"
+	"coltsfootusher.example/coltsfootd/platform"
+	"coltsfootusher.example/coltsfootd/setting"
+	"coltsfootusher.example/coltsfootd/transport"
+	"coltsfootusher.example/core/balance"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/preset"
+	"coltsfootusher.example/core/retry"
+	"coltsfootusher.example/peer/auth"
+)
+
+// Error is the class of errors that end a node.
+var Error = errs.Class("node")
+
+const (
+	recentDecisions    = 4096
+	peerIdleConns      = 64
+	platformIdleConns  = 8
+	readHeaderTimeout  = 10 * time.Second
+	idleTimeout        = 2 * time.Minute
+	reconfigureEvery   = 50 * time.Millisecond
+	minRetriesPerSec   = 1
+	maxPeerMessageSize = 2 << 20
+)
+
+// Node is one coltsfootd process.
+type Node struct {
+	settings    setting.Settings
+	logger      log.Logger
+	clock       *clock.System
+	incarnation uint64
+	leaving     atomic.Bool
+
+	control   *control.Loop
+	admission *gateway.Admission
+	inFlight  *inflight.Table
+	recorder  *decision.Recorder
+	entry     *entry.Handler
+	balancer  *passage.LockedBalancer
+	budget    *passage.LockedBudget
+
+	servers []*server
+}
+
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// New builds a node and opens its listeners; logs go to logs.
+func New(s setting.Settings, logs io.Writer) (*Node, error) {
+	n := &Node{
+		settings:    s,
+		logger:      logging.New(logs, s.LogFormat, s.LogLevel, s.NodeName),
+		clock:       clock.NewSystem(),
+		incarnation: rand.Uint64(),
+		inFlight:    inflight.New(),
+	}
+	secret, err := s.Secret()
+	if err != nil {
+		return nil, err
+	}
+	signer, err := auth.New(s.NodeName, secret, s.PeerRequestMaxAgeMs.Duration(), time.Now)
+	if err != nil {
+		return nil, err
+	}
+	metrics := expvar.NewMap("coltsfootd")
+	n.recorder = decision.New(n.logger, metrics, recentDecisions, s.LogSamplePerSecond)
+	client := platform.New(s.PlatformAddress, s.NodeName, transport.New(s.SourceAddress(), 0, platformIdleConns))
+	n.control = control.New(client, s.WatchWaitMs, logging.Part(n.logger, "control"))
+	n.buildTraffic(signer, metrics)
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) buildTraffic(signer *auth.Signer, metrics *expvar.Map) {
+	s := n.settings
+	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
+	ops := operations.New()
+	g := gateway.New(gateway.Config{
+		Node: s.NodeName, Incarnation: n.incarnation, Service: s.Service, Clock: n.clock, Snapshots: n.control,
+		Holder: n.control, OnceOnly: ops, Suspects: operations.NoSuspects{}, Admission: n.admission,
+		Target:   gateway.NewTarget(s.TargetAddress, s.TargetConnections, s.BufferedAnswerBytes),
+		InFlight: n.inFlight, Recorder: n.recorder,
+	})
+	n.balancer = passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig())
+	n.budget = passage.NewLockedBudget(retry.New(0, minRetriesPerSec))
+	sender := passage.New(passage.Config{
+		Node: s.NodeName, FailureDomain: s.FailureDomain, Clock: n.clock, Snapshots: n.control, Peers: n.control,
+		Homes: ops, Local: g,
+		Client:   passage.NewClient(signer, transport.New(s.SourceAddress(), 0, peerIdleConns), s.BufferedAnswerBytes),
+		Balancer: n.balancer, Budget: n.budget, Recorder: n.recorder,
+	})
+	n.entry = entry.New(entry.Config{
+		Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Holder: n.control, Limiter: operations.NoLimit{},
+		Operations: ops, Sender: sender, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes,
+	})
+	n.servers = []*server{
+		{name: "entry", http: newServer(n.entry, s.MaxHeaderBytes)},
+		{name: "peer", http: newServer(peerserver.New(peerserver.Config{
+			Signer: signer, Gateway: g, Control: http.NotFoundHandler(), MaxBody: maxPeerMessageSize,
+			Logger: logging.Part(n.logger, "peer"), Metrics: metrics,
+		}), s.MaxHeaderBytes)},
+		{name: "egress", http: newServer(egress.New(egress.Config{
+			Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Operations: ops, Sender: sender,
+			InFlight: n.inFlight, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes,
+		}), s.MaxHeaderBytes)},
+		{name: "operator", http: newServer(operator.Handler(n.status, n.recorder), s.MaxHeaderBytes)},
+	}
+}
+
+func newServer(handler http.Handler, maxHeaderBytes int) *http.Server {
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+func (n *Node) listen() error {
+	addresses := map[string]string{
+		"entry": n.settings.EntryAddress, "peer": n.settings.PeerAddress,
+		"egress": n.settings.EgressAddress, "operator": n.settings.OperatorAddress,
+	}
+	for _, srv := range n.servers {
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addresses[srv.name])
+		if err != nil {
+			return Error.New("%sAddress: %v", srv.name, err)
+		}
+		srv.listener = listener
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, srv := range n.servers {
+		if srv.listener != nil {
+			_ = srv.listener.Close()
+		}
+	}
+}
+
+// Run serves until ctx ends and then shuts down without cutting a request.
+// Once it listens it writes one line "listening" with the addresses to stdout.
+func (n *Node) Run(ctx context.Context, stdout io.Writer) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go n.control.Run(background)
+	go n.admission.Run(background)
+	go n.configure(background)
+	failed := make(chan error, len(n.servers))
+	line := "listening"
+	for _, srv := range n.servers {
+		line += " " + srv.name + "=" + srv.listener.Addr().String()
+		go func() {
+			if err := srv.http.Serve(srv.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- Error.New("%s: %v", srv.name, err)
+			}
+		}()
+	}
+	_ = level.Info(n.logger).Log("part", "node", "msg", "node started", "incarnation", n.incarnation)
+	if _, err := fmt.Fprintln(stdout, line); err != nil {
+		return Error.Wrap(err)
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return n.shutdown()
+	}
+}
+
+// shutdown refuses new work, finishes what runs and closes the servers; entry first, so that callers' requests that
+// are still in flight can use the rest.
+func (n *Node) shutdown() error {
+	_ = level.Info(n.logger).Log("part", "node", "msg", "shutdown started")
+	n.leaving.Store(true)
+	n.entry.SetLeaving()
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeoutMs.Duration())
+	defer cancel()
+	var failures errs.Group
+	for _, srv := range n.servers {
+		if err := srv.http.Shutdown(ctx); err != nil {
+			failures.Add(Error.New("%s: requests were cut after drainTimeoutMs: %v", srv.name, err))
+		}
+	}
+	_ = level.Info(n.logger).Log("part", "node", "msg", "shutdown finished")
+	return failures.Err()
+}
+
+// configure applies the preset and the size of the service to the gate, the balancer and the retry budget.
+func (n *Node) configure(ctx context.Context) {
+	ticker := time.NewTicker(reconfigureEvery)
+	defer ticker.Stop()
+	var applied *fleet.Snapshot
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if snapshot := n.control.Current(); snapshot != applied && snapshot.Complete() {
+				n.apply(snapshot)
+				applied = snapshot
+			}
+		}
+	}
+}
+
+func (n *Node) apply(snapshot *fleet.Snapshot) {
+	p := snapshot.Presets.InForce()
+	svc, _ := snapshot.Service(n.settings.Service)
+	n.admission.Update(gateway.Configure(svc, p))
+	n.balancer.SetRoundRobin(p.Policy == preset.Off)
+	n.budget.Configure(p.RetryBudgetPercent, minRetriesPerSec)
+}
+
+func (n *Node) status() operator.Status {
+	snapshot := n.control.Current()
+	return operator.Status{
+		Node: n.settings.NodeName, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain,
+		Service: n.settings.Service, Leaving: n.leaving.Load(), Ready: snapshot.Complete(),
+		ActivePreset: snapshot.Presets.Active, Versions: snapshot.Versions, Load: n.admission.Load(), InFlight: n.inFlight.Len(),
+	}
+}
--- /dev/null
+++ b/coltsfootd/operations/doc.go
@@ -0,0 +1,2 @@
+// Package operations runs once-only operations at most once.
+package operations
--- /dev/null
+++ b/coltsfootd/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves metrics, the node's status and recent decisions to operators.
+package operator
--- /dev/null
+++ b/coltsfootd/operator/operator.go
@@ -0,0 +1,59 @@
+package operator
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+)
+
+// Status is the state of a node as operators see it.
+type Status struct {
+	Node          string `json:"node"`
+	Incarnation   uint64 `json:"incarnation,string"`
+	FailureDomain string `json:"failureDomain"`
+	Service       string `json:"service"`
+	Leaving       bool   `json:"leaving"`
+	Ready         bool   `json:"ready"`
+	ActivePreset  string `json:"activePreset"`
+	// Versions are the versions of the sections in force.
+	Versions map[fleet.Name]int64 `json:"versions"`
+	// AgesMs are the times since the sections were last confirmed as current.
+	AgesMs map[fleet.Name]clock.Millis `json:"agesMs,omitempty"`
+	Load   call.Load                   `json:"load"`
+	// InFlight is the number of requests that the local target runs.
+	InFlight int `json:"inFlight"`
+	// LastContactMs are the times since the platform and each peer last answered.
+	LastContactMs map[string]clock.Millis `json:"lastContactMs,omitempty"`
+}
+
+// Handler returns the handler of the operators' address.
+func Handler(status func() Status, recorder *decision.Recorder) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, status())
+	})
+	mux.HandleFunc("/explain", func(w http.ResponseWriter, r *http.Request) {
+		id := r.URL.Query().Get("request")
+		if id == "" {
+			http.Error(w, "the parameter request is missing", http.StatusBadRequest)
+			return
+		}
+		writeJSON(w, recorder.Explain(id))
+	})
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/coltsfootd/passage/client.go
@@ -0,0 +1,120 @@
+package passage
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"coltsfootusher.example/coltsfootd/answer"
+	"coltsfootusher.example/coltsfootd/transport"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/vm"
+	"coltsfootusher.example/peer/auth"
+	"coltsfootusher.example/peer/envelope"
+)
+
+// CallPath is the path at which nodes receive calls from each other.
+const CallPath = "/call"
+
+// Client sends calls to peer nodes over HTTP.
+type Client struct {
+	signer    *auth.Signer
+	transport *http.Transport
+	limit     int64
+}
+
+// NewClient returns a client that buffers answers of at most bufferedBytes.
+func NewClient(signer *auth.Signer, t *http.Transport, bufferedBytes int64) *Client {
+	return &Client{signer: signer, transport: t, limit: bufferedBytes}
+}
+
+// Send sends the call to the node of v and reads its answer.
+func (cl *Client) Send(ctx context.Context, v vm.VM, c call.Call, header http.Header, body []byte) answer.Answer {
+	ctx, cancel := context.WithTimeout(ctx, c.TimeoutMs.Duration())
+	request, err := cl.request(ctx, v, c, header, body)
+	if err != nil {
+		cancel()
+		return giveBack(answer.Refuse(call.ReasonInternal), c)
+	}
+	response, err := cl.transport.RoundTrip(request)
+	if err != nil {
+		defer cancel()
+		return failure(ctx, c, err)
+	}
+	a, err := cl.read(response)
+	if err != nil {
+		defer cancel()
+		return failure(ctx, c, err)
+	}
+	if a.Rest == nil {
+		cancel()
+		return a
+	}
+	a.Rest = cancelOnClose{a.Rest, cancel}
+	return a
+}
+
+func (cl *Client) request(
+	ctx context.Context, v vm.VM, c call.Call, header http.Header, body []byte,
+) (*http.Request, error) {
+	encoded, err := envelope.EncodeCall(c)
+	if err != nil {
+		return nil, err
+	}
+	request, err := transport.NewRequest(ctx, http.MethodPost, "http://"+v.PeerAddress+CallPath, body)
+	if err != nil {
+		return nil, err
+	}
+	transport.SetHeader(request, header)
+	request.Header.Set(auth.CallHeader, encoded)
+	return request, cl.signer.Sign(request, v.Name, body)
+}
+
+var errNotANode = errors.New("the response carries no result")
+
+func (cl *Client) read(response *http.Response) (answer.Answer, error) {
+	result, err := envelope.DecodeResult(response.Header.Get(envelope.ResultHeader))
+	if err != nil {
+		_ = response.Body.Close()
+		return answer.Answer{}, errNotANode
+	}
+	a, err := answer.Read(response, cl.limit)
+	a.Result = result
+	return a, err
+}
+
+func failure(ctx context.Context, c call.Call, err error) answer.Answer {
+	switch {
+	case neverSent(err):
+		return giveBack(answer.Refuse(call.ReasonNodeUnreachable), c)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return answer.Fail(call.ReasonDeadlineExceeded)
+	case ctx.Err() != nil:
+		return answer.Fail(call.ReasonCallerGone)
+	case answer.Truncated(err):
+		return answer.Fail(call.ReasonAnswerTruncated)
+	default:
+		return answer.Fail(call.ReasonNodeUnreachable)
+	}
+}
+
+// giveBack returns the allowance of a call that was never sent.
+func giveBack(a answer.Answer, c call.Call) answer.Answer {
+	a.Result.AllowanceLeft = c.Allowance
+	return a
+}
+
+type cancelOnClose struct {
+	rest interface {
+		Read(p []byte) (int, error)
+		Close() error
+	}
+	cancel context.CancelFunc
+}
+
+func (c cancelOnClose) Read(p []byte) (int, error) { return c.rest.Read(p) }
+
+func (c cancelOnClose) Close() error {
+	defer c.cancel()
+	return c.rest.Close()
+}
--- /dev/null
+++ b/coltsfootd/passage/doc.go
@@ -0,0 +1,2 @@
+// Package passage sends calls to the nodes of other targets: it chooses the target, retries lookups and checks answers.
+package passage
--- /dev/null
+++ b/coltsfootd/passage/passage.go
@@ -0,0 +1,268 @@
+package passage
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"coltsfootusher.example/coltsfootd/answer"
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/core/balance"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/preset"
+	"coltsfootusher.example/core/retry"
+	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/vm"
+)
+
+// Snapshots yields the published values in force.
+type Snapshots interface {
+	Current() *fleet.Snapshot
+}
+
+// Peers tells which nodes get new work.
+type Peers interface {
+	MayServe(v vm.VM) bool
+}
+
+// Homes finds the node that may run a once-only operation.
+type Homes interface {
+	// Home returns the name of the node; reason is set when there is none.
+	Home(c call.Call) (node string, reason call.Reason)
+}
+
+// Local serves calls whose target is the node's own.
+type Local interface {
+	Serve(ctx context.Context, c call.Call, header http.Header, body []byte) answer.Answer
+}
+
+// Config are the dependencies of a Sender.
+type Config struct {
+	Node          string
+	FailureDomain string
+	Clock         clock.Clock
+	Snapshots     Snapshots
+	Peers         Peers
+	Homes         Homes
+	Local         Local
+	Client        *Client
+	Balancer      Balancer
+	Budget        Budget
+	Recorder      *decision.Recorder
+}
+
+// Balancer chooses among targets.
+type Balancer interface {
+	Choose(candidates []balance.Candidate, exclude map[string]bool, now clock.Millis) (balance.Choice, bool)
+	Started(node string, now clock.Millis)
+	Finished(node string, report balance.Report, now clock.Millis)
+}
+
+// Budget bounds the retries of a node.
+type Budget interface {
+	OnSuccess(now clock.Millis)
+	TryRetry(now clock.Millis) bool
+}
+
+// Sender sends calls to targets.
+type Sender struct {
+	Config
+}
+
+// New returns a sender with these dependencies.
+func New(config Config) *Sender {
+	return &Sender{Config: config}
+}
+
+// Request is a call with its message.
+type Request struct {
+	Call   call.Call
+	Header http.Header
+	Body   []byte
+	// Deadline is the time after which nobody waits for the answer.
+	Deadline clock.Millis
+	// Allowance holds the retries that the call and its inner calls may still make.
+	Allowance *retry.Allowance
+}
+
+// Send sends the request to a target of its service and returns the answer or a refusal.
+func (s *Sender) Send(ctx context.Context, r Request) answer.Answer {
+	if r.Call.Class == route.OnceOnly {
+		return s.sendToHome(ctx, r)
+	}
+	return s.sendLookup(ctx, r)
+}
+
+// sendToHome makes one attempt only: a message that may have been sent is never repeated.
+func (s *Sender) sendToHome(ctx context.Context, r Request) answer.Answer {
+	home, reason := s.Homes.Home(r.Call)
+	if reason != "" {
+		return answer.Refuse(reason)
+	}
+	v, ok := s.Snapshots.Current().VM(home)
+	if !ok {
+		a := answer.Fail(call.ReasonNodeUnreachable)
+		a.Result.Outcome = call.Unknown
+		return a
+	}
+	s.record(r.Call, "once-only call sent to its home", balance.Choice{Node: home}, "")
+	a := s.attempt(ctx, v, r)
+	if !a.OK() && a.Result.Outcome == "" {
+		// Only the home may say that the operation was not run, and it has not answered.
+		a.Result.Outcome = call.Unknown
+	}
+	return a
+}
+
+func (s *Sender) sendLookup(ctx context.Context, r Request) answer.Answer {
+	p := s.Snapshots.Current().Presets.InForce()
+	if p.Policy == preset.Off {
+		// Without overload control each hop retries on its own, as clients without a shared allowance do.
+		r.Allowance = retry.NewAllowance(p.RetryAllowance)
+	}
+	var exclude map[string]bool
+	last := answer.Refuse(call.ReasonNoTarget)
+	for {
+		v, choice, ok := s.choose(r.Call.Service, exclude)
+		if !ok {
+			return last
+		}
+		s.record(r.Call, "target chosen", choice, "")
+		a := s.attempt(ctx, v, r)
+		if a.OK() && (p.Policy == preset.On || a.Status < http.StatusInternalServerError) {
+			s.Budget.OnSuccess(s.Clock.Now())
+			return a
+		}
+		if !s.mayRetry(ctx, r, a, p.Policy) {
+			return a
+		}
+		a.Close()
+		last = a
+		if exclude == nil {
+			exclude = make(map[string]bool)
+		}
+		exclude[v.Name] = true
+		r.Call.Attempt++
+	}
+}
+
+// mayRetry reports whether a failed lookup is tried at another target. Only the level next to the failure retries:
+// a failure that the target itself answered, or that came from a call below it, is passed on.
+func (s *Sender) mayRetry(ctx context.Context, r Request, a answer.Answer, policy preset.Policy) bool {
+	if ctx.Err() != nil || s.Clock.Now() >= r.Deadline {
+		return false
+	}
+	if policy == preset.Off {
+		return r.Allowance.Spend()
+	}
+	if !a.Result.Reason.Retryable() {
+		return false
+	}
+	return r.Allowance.Spend() && s.Budget.TryRetry(s.Clock.Now())
+}
+
+func (s *Sender) choose(service string, exclude map[string]bool) (vm.VM, balance.Choice, bool) {
+	snapshot := s.Snapshots.Current()
+	svc, _ := snapshot.Service(service)
+	vms := snapshot.VMsOfService(service)
+	candidates := make([]balance.Candidate, 0, len(vms))
+	for _, v := range vms {
+		if s.Peers.MayServe(v) {
+			candidates = append(candidates, balance.Candidate{
+				Node: v.Name, FailureDomain: v.FailureDomain, Slots: svc.SlotsPerTarget, DistanceMs: s.distance(v),
+			})
+		}
+	}
+	choice, ok := s.Balancer.Choose(candidates, exclude, s.Clock.Now())
+	if !ok {
+		return vm.VM{}, balance.Choice{}, false
+	}
+	v, ok := snapshot.VM(choice.Node)
+	return v, choice, ok
+}
+
+// remoteDistanceMs is the extra time that a call to another failure domain is expected to take.
+const remoteDistanceMs = 1
+
+func (s *Sender) distance(v vm.VM) float64 {
+	if v.FailureDomain == s.FailureDomain {
+		return 0
+	}
+	return remoteDistanceMs
+}
+
+// attempt sends the call once, to this node's own gate or to a peer.
+func (s *Sender) attempt(ctx context.Context, v vm.VM, r Request) answer.Answer {
+	now := s.Clock.Now()
+	c := r.Call
+	c.TimeoutMs = r.Deadline - now
+	if c.TimeoutMs <= 0 {
+		return answer.Refuse(call.ReasonDeadlineExceeded)
+	}
+	if s.Snapshots.Current().Presets.InForce().Policy == preset.On {
+		c.Allowance = takeAllowance(r)
+	}
+	s.Balancer.Started(v.Name, now)
+	start := time.Now()
+	a := s.deliver(ctx, v, c, r)
+	r.Allowance.Give(min(a.Result.AllowanceLeft, c.Allowance))
+	report := balance.Report{
+		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
+		Failed:    unreachable(a.Result.Reason),
+		Refused:   !a.OK() && a.Result.Run == call.NotRun,
+	}
+	if a.Result.Node != "" {
+		load := a.Result.Load
+		report.Load = &load
+	}
+	s.Balancer.Finished(v.Name, report, s.Clock.Now())
+	if !a.OK() {
+		s.record(c, "attempt failed", balance.Choice{Node: v.Name}, a.Result.Reason)
+	}
+	return a
+}
+
+func (s *Sender) deliver(ctx context.Context, v vm.VM, c call.Call, r Request) answer.Answer {
+	if v.Name == s.Node {
+		return s.Local.Serve(ctx, c, r.Header, r.Body)
+	}
+	return s.Client.Send(ctx, v, c, r.Header, r.Body)
+}
+
+// keptAtEntry is the number of retries that stay at the entry, because what is sent along is lost when no answer
+// comes, as when the receiving node dies.
+const keptAtEntry = 1
+
+func takeAllowance(r Request) int {
+	if r.Call.Depth == 0 {
+		return r.Allowance.TakeAllBut(keptAtEntry)
+	}
+	return r.Allowance.TakeAll()
+}
+
+func unreachable(reason call.Reason) bool {
+	switch reason {
+	case call.ReasonNodeUnreachable, call.ReasonTargetDown, call.ReasonTargetFailed, call.ReasonAnswerTruncated,
+		call.ReasonAnswerMismatch:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Sender) record(c call.Call, action string, choice balance.Choice, reason call.Reason) {
+	s.Recorder.Record(decision.Decision{
+		AtMs: s.Clock.Now(), Part: "passage", RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
+		Node: choice.Node, Reason: reason, Attempt: c.Attempt, Depth: c.Depth,
+		WaitMs: clock.Millis(choice.WaitMs), FactAgeMs: choice.LoadAgeMs,
+	})
+}
+
+// neverSent reports whether err proves that nothing of the request was sent.
+func neverSent(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+}
--- /dev/null
+++ b/coltsfootd/peerserver/doc.go
@@ -0,0 +1,2 @@
+// Package peerserver serves the calls and control messages of other nodes.
+package peerserver
--- /dev/null
+++ b/coltsfootd/platform/platform.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+)
+
+// Error is the class of errors of the configuration service.
+var Error = errs.Class("platform")
+
+const (
+	// maxValueBytes is the largest value that the service holds, 1 MB, with room for the envelope.
+	maxValueBytes = 1<<20 + 4<<10
+	// answerTimeout bounds the time for an answer beyond the time that a watch waits.
+	answerTimeout = 3 * time.Second
+	// NodeHeader names the reading node, for the operators' statistics.
+	NodeHeader = "Coltsfoot-Node"
+)
+
+// Value is one published value.
+type Value struct {
+	Name    fleet.Name      `json:"name"`
+	Version int64           `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// Client reads the configuration service.
+type Client struct {
+	address string
+	node    string
+	client  *http.Client
+}
+
+// New returns a client of the service at address that names node as the reader.
+func New(address, node string, transport http.RoundTripper) *Client {
+	return &Client{address: address, node: node, client: &http.Client{Transport: transport}}
+}
+
+// Get returns the value as it is published now.
+func (c *Client) Get(ctx context.Context, name fleet.Name) (Value, error) {
+	v, _, err := c.read(ctx, fmt.Sprintf("/v1/values/%s", name), 0)
+	return v, err
+}
+
+// Watch waits up to wait for a version above after; changed is false if none came.
+func (c *Client) Watch(ctx context.Context, name fleet.Name, after int64, wait clock.Millis) (v Value, changed bool, err error) {
+	return c.read(ctx, fmt.Sprintf("/v1/watch/%s?after=%d&waitMs=%d", name, after, wait), wait)
+}
+
+func (c *Client) read(ctx context.Context, path string, wait clock.Millis) (Value, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration()+answerTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
+	if err != nil {
+		return Value{}, false, Error.Wrap(err)
+	}
+	request.Header.Set(NodeHeader, c.node)
+	response, err := c.client.Do(request)
+	if err != nil {
+		return Value{}, false, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusNotModified:
+		return Value{}, false, nil
+	case http.StatusOK:
+	default:
+		return Value{}, false, Error.New("%s: status %d", path, response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxValueBytes+1))
+	if err != nil {
+		return Value{}, false, Error.Wrap(err)
+	}
+	if len(data) > maxValueBytes {
+		return Value{}, false, Error.New("%s: value is longer than %d bytes", path, maxValueBytes)
+	}
+	var v Value
+	if err := json.Unmarshal(data, &v); err != nil {
+		return Value{}, false, Error.New("%s: %v", path, err)
+	}
+	return v, true, nil
+}
--- /dev/null
+++ b/coltsfootd/setting/doc.go
@@ -0,0 +1,2 @@
+// Package setting reads and checks the settings of a node.
+package setting
--- /dev/null
+++ b/coltsfootd/setting/setting.go
@@ -0,0 +1,154 @@
+package setting
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/core/clock"
+)
+
+// Error is the class of errors about settings.
+var Error = errs.Class("settings")
+
+// Settings are the settings of one node; the example files name every key.
+type Settings struct {
+	NodeName      string `yaml:"nodeName"`
+	FailureDomain string `yaml:"failureDomain"`
+	// Service is the service of the target beside the node.
+	Service string `yaml:"service"`
+
+	// The addresses are IP addresses with a port; port 0 lets the system choose one.
+	EntryAddress    string `yaml:"entryAddress"`
+	PeerAddress     string `yaml:"peerAddress"`
+	EgressAddress   string `yaml:"egressAddress"`
+	OperatorAddress string `yaml:"operatorAddress"`
+	TargetAddress   string `yaml:"targetAddress"`
+	// TargetConnections is the largest number of connections to the target; 0 means the published number.
+	TargetConnections int `yaml:"targetConnections"`
+	// TargetHealthPath and TargetHealthIntervalMs say how the target's drain state is polled.
+	TargetHealthPath       string       `yaml:"targetHealthPath"`
+	TargetHealthIntervalMs clock.Millis `yaml:"targetHealthIntervalMs"`
+
+	PlatformAddress string `yaml:"platformAddress"`
+	// FleetSecretFile holds the secret that all nodes share, at least 16 bytes.
+	FleetSecretFile string `yaml:"fleetSecretFile"`
+	// BootstrapPeers are peer addresses, written as name=address, that a starting node asks.
+	BootstrapPeers []string `yaml:"bootstrapPeers"`
+
+	PauseThresholdMs    clock.Millis `yaml:"pauseThresholdMs"`
+	ConfirmTimeoutMs    clock.Millis `yaml:"confirmTimeoutMs"`
+	StartupTimeoutMs    clock.Millis `yaml:"startupTimeoutMs"`
+	WatchWaitMs         clock.Millis `yaml:"watchWaitMs"`
+	SeatFenceMs         clock.Millis `yaml:"seatFenceMs"`
+	SeatFenceMarginMs   clock.Millis `yaml:"seatFenceMarginMs"`
+	LeaseMs             clock.Millis `yaml:"leaseMs"`
+	MaxClockSkewMs      clock.Millis `yaml:"maxClockSkewMs"`
+	PeerRequestMaxAgeMs clock.Millis `yaml:"peerRequestMaxAgeMs"`
+	DrainTimeoutMs      clock.Millis `yaml:"drainTimeoutMs"`
+
+	OperationRetentionMs  clock.Millis `yaml:"operationRetentionMs"`
+	OperationMaxEntries   int          `yaml:"operationMaxEntries"`
+	OperationMaxBodyBytes int64        `yaml:"operationMaxBodyBytes"`
+
+	MaxRequestBodyBytes int64 `yaml:"maxRequestBodyBytes"`
+	MaxHeaderBytes      int   `yaml:"maxHeaderBytes"`
+	BufferedAnswerBytes int64 `yaml:"bufferedAnswerBytes"`
+
+	LogLevel  string `yaml:"logLevel"`
+	LogFormat string `yaml:"logFormat"`
+	// LogSamplePerSecond bounds the decision lines per second; the lines left out are counted.
+	LogSamplePerSecond int `yaml:"logSamplePerSecond"`
+}
+
+// Default returns the settings with every default filled in.
+func Default() Settings {
+	return Settings{
+		TargetHealthPath:       "/health",
+		TargetHealthIntervalMs: 500,
+		PauseThresholdMs:       1_000,
+		ConfirmTimeoutMs:       1_000,
+		StartupTimeoutMs:       5_000,
+		WatchWaitMs:            10_000,
+		SeatFenceMs:            5_000,
+		SeatFenceMarginMs:      1_000,
+		LeaseMs:                2_000,
+		MaxClockSkewMs:         5_000,
+		PeerRequestMaxAgeMs:    10_000,
+		DrainTimeoutMs:         30_000,
+		OperationRetentionMs:   120_000,
+		OperationMaxEntries:    100_000,
+		OperationMaxBodyBytes:  16 << 20,
+		MaxRequestBodyBytes:    1 << 20,
+		MaxHeaderBytes:         32 << 10,
+		BufferedAnswerBytes:    256 << 10,
+		LogLevel:               "info",
+		LogFormat:              "logfmt",
+		LogSamplePerSecond:     200,
+	}
+}
+
+// Load reads and checks a settings file. Errors name the line where the library knows it.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, Error.Wrap(err)
+	}
+	s := Default()
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField(), yaml.Strict())
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, Error.New("%s: %s", path, yaml.FormatError(err, false, true))
+	}
+	if key, err := s.validate(); err != nil {
+		return Settings{}, Error.New("%s%s: %v", path, position(data, key), err)
+	}
+	return s, nil
+}
+
+// position returns ":LINE" of the top-level key, or nothing when the file does not set it.
+func position(data []byte, key string) string {
+	for i, line := range strings.Split(string(data), "\n") {
+		if strings.HasPrefix(line, key+":") {
+			return ":" + itoa(i+1)
+		}
+	}
+	return ""
+}
+
+// Secret reads the fleet secret.
+func (s Settings) Secret() ([]byte, error) {
+	secret, err := os.ReadFile(s.FleetSecretFile)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return bytes.TrimSpace(secret), nil
+}
+
+// SourceAddress is the IP address from which the node dials peers and the platform: that of its peer address.
+func (s Settings) SourceAddress() netip.Addr {
+	address, err := netip.ParseAddrPort(s.PeerAddress)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Addr()
+}
+
+// Peers returns the bootstrap peers as names and addresses.
+func (s Settings) Peers() (map[string]string, error) {
+	peers := make(map[string]string, len(s.BootstrapPeers))
+	for _, entry := range s.BootstrapPeers {
+		name, address, ok := strings.Cut(entry, "=")
+		if !ok || name == "" {
+			return nil, Error.New("bootstrapPeers: %q must be written as name=address", entry)
+		}
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nil, Error.New("bootstrapPeers: %q: address must be an IP address and a port", entry)
+		}
+		peers[name] = address
+	}
+	return peers, nil
+}
--- /dev/null
+++ b/core/balance/doc.go
@@ -0,0 +1,2 @@
+// Package balance chooses among the targets of a service.
+package balance
--- /dev/null
+++ b/peer/envelope/envelope.go
@@ -0,0 +1,102 @@
+package envelope
+
+import (
+	"encoding/base64"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/peer/peerpb"
+)
+
+// Error is the class of errors about malformed headers.
+var Error = errs.Class("envelope")
+
+// ResultHeader carries the encoded result of a call.
+const ResultHeader = "Coltsfoot-Result"
+
+// EncodeCall returns the header value for c.
+func EncodeCall(c call.Call) (string, error) {
+	return encode(&peerpb.Call{
+		RequestId: c.RequestID, Account: c.Account, Service: c.Service, Route: c.Route, Class: string(c.Class),
+		Method: c.Method, Path: c.Path, Depth: int32(c.Depth), TimeoutMs: int64(c.TimeoutMs),
+		Allowance: int32(c.Allowance), Attempt: int32(c.Attempt), OperationId: c.OperationID, Fingerprint: c.Fingerprint,
+	})
+}
+
+// DecodeCall parses a header value and checks the call.
+func DecodeCall(header string) (call.Call, error) {
+	var m peerpb.Call
+	if err := decode(header, &m); err != nil {
+		return call.Call{}, err
+	}
+	c := call.Call{
+		RequestID: m.RequestId, Account: m.Account, Service: m.Service, Route: m.Route, Class: route.Class(m.Class),
+		Method: m.Method, Path: m.Path, Depth: int(m.Depth), TimeoutMs: clock.Millis(m.TimeoutMs),
+		Allowance: int(m.Allowance), Attempt: int(m.Attempt), OperationID: m.OperationId, Fingerprint: m.Fingerprint,
+	}
+	switch {
+	case c.RequestID == "" || c.Service == "" || c.Method == "" || c.Path == "":
+		return call.Call{}, Error.New("call lacks a request id, service, method or path")
+	case c.Class != route.Lookup && c.Class != route.OnceOnly:
+		return call.Call{}, Error.New("call has the unknown class %q", m.Class)
+	case c.Depth < 0 || c.Allowance < 0 || c.Attempt < 0:
+		return call.Call{}, Error.New("call has a negative depth, allowance or attempt")
+	case c.Class == route.OnceOnly && c.OperationID == "":
+		return call.Call{}, Error.New("once-only call lacks an operation id")
+	}
+	return c, nil
+}
+
+// EncodeResult returns the header value for r.
+func EncodeResult(r call.Result) (string, error) {
+	return encode(&peerpb.Result{
+		Reason: string(r.Reason), Run: string(r.Run), RetryAfterMs: int64(r.RetryAfterMs),
+		AllowanceLeft: int32(r.AllowanceLeft), Outcome: string(r.Outcome), Node: r.Node, Incarnation: r.Incarnation,
+		Load: &peerpb.Load{
+			Running: int32(r.Load.Running), Waiting: int32(r.Load.Waiting), Limit: int32(r.Load.Limit),
+			WaitMs: int64(r.Load.WaitMs), Leaving: r.Load.Leaving,
+		},
+	})
+}
+
+// DecodeResult parses a header value.
+func DecodeResult(header string) (call.Result, error) {
+	var m peerpb.Result
+	if err := decode(header, &m); err != nil {
+		return call.Result{}, err
+	}
+	return call.Result{
+		Reason: call.Reason(m.Reason), Run: call.Run(m.Run), RetryAfterMs: clock.Millis(m.RetryAfterMs),
+		AllowanceLeft: max(0, int(m.AllowanceLeft)), Outcome: call.Outcome(m.Outcome), Node: m.Node, Incarnation: m.Incarnation,
+		Load: call.Load{
+			Running: int(m.GetLoad().GetRunning()), Waiting: int(m.GetLoad().GetWaiting()), Limit: int(m.GetLoad().GetLimit()),
+			WaitMs: clock.Millis(m.GetLoad().GetWaitMs()), Leaving: m.GetLoad().GetLeaving(),
+		},
+	}, nil
+}
+
+func encode(m proto.Message) (string, error) {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	return base64.RawStdEncoding.EncodeToString(raw), nil
+}
+
+func decode(header string, m proto.Message) error {
+	if header == "" {
+		return Error.New("header is missing")
+	}
+	raw, err := base64.RawStdEncoding.DecodeString(header)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := proto.Unmarshal(raw, m); err != nil {
+		return Error.Wrap(err)
+	}
+	return nil
+}
--- a/standin/launch/launch.go
+++ b/standin/launch/launch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -30,7 +32,6 @@
 
 const (
 	platformIP   = "127.9.0.1"
-	fleetSecret  = "demo-fleet-secret-0123456789"
 	secretFile   = "fleet-secret"
 	stopTimeout  = 40 * time.Second
 	parallelism  = 16
@@ -94,8 +95,8 @@
 	if err := os.MkdirAll(o.Work, 0o750); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if err := os.WriteFile(filepath.Join(o.Work, secretFile), []byte(fleetSecret), 0o600); err != nil {
-		return nil, Error.Wrap(err)
+	if err := writeSecret(filepath.Join(o.Work, secretFile)); err != nil {
+		return nil, err
 	}
 	f := &Fleet{Options: o, File: file, Keys: keys, Platform: platform.New(), Network: link.NewNetwork()}
 	if err := f.start(ctx); err != nil {
@@ -105,6 +106,15 @@
 	return f, nil
 }
 
+func writeSecret(path string) error {
+	const secretBytes = 32
+	secret := make([]byte, secretBytes)
+	if _, err := rand.Read(secret); err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(os.WriteFile(path, []byte(hex.EncodeToString(secret)), 0o600))
+}
+
 func (f *Fleet) start(ctx context.Context) error {
 	if err := f.startPlatform(ctx); err != nil {
 		return err
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -74,7 +74,8 @@
 
 func (l *Link) serve(client net.Conn) {
 	source := l.network.domainOf(client.RemoteAddr())
-	server, err := net.DialTimeout("tcp", l.server, dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	server, err := dialer.DialContext(context.Background(), "tcp", l.server)
 	if err != nil {
 		reset(client)
 		return
