--- a/core/gate/trial_test.go
+++ b/core/gate/trial_test.go
@@ -40,6 +40,7 @@
 
 type attempt struct {
 	account  int
+	onceOnly bool
 	tries    int
 	deadline clock.Millis
 }
@@ -59,6 +60,10 @@
 	// slowFrom and slowTo bound the time in which calls take 4 times as long, whatever the limit.
 	slowFrom, slowTo clock.Millis
 
+	// onceOnlyPercent of the calls are once-only; those refused are counted.
+	onceOnlyPercent int
+	onceOnlyRefused int
+
 	complete [trialMs / 100]int
 	offered  [8]float64
 	received [8]float64
@@ -70,6 +75,9 @@
 	if tr.fair {
 		r.Account = string(rune('a' + a.account))
 	}
+	if a.onceOnly {
+		r.Class = route.OnceOnly
+	}
 	a.deadline = r.Deadline
 	tr.pending[r.ID] = a
 	tr.apply(tr.gate.Offer(r, tr.now))
@@ -85,6 +93,9 @@
 			heap.Push(&tr.ends, event{at: tr.now + service, started: tr.now, id: d.ID})
 			continue
 		}
+		if tr.pending[d.ID].onceOnly {
+			tr.onceOnlyRefused++
+		}
 		if a := tr.pending[d.ID]; a.tries < 2 {
 			a.tries++
 			tr.retries[d.ID] = a
@@ -121,7 +132,7 @@
 		if tr.now >= surgeFrom && tr.now < surgeTo {
 			tr.offered[account]++
 		}
-		tr.offer(attempt{account: account})
+		tr.offer(attempt{account: account, onceOnly: tr.random.IntN(100) < tr.onceOnlyPercent})
 	}
 	if tr.now%5 == 0 {
 		tr.apply(tr.gate.Tick(tr.now))
@@ -205,6 +216,18 @@
 	}
 }
 
+// Guards against once-only calls that are refused in a surge which lookups alone could give way to.
+func TestOnceOnlyCallsAreNotRefusedInASurge(t *testing.T) {
+	const seed = 5
+	t.Logf("seed=%d", seed)
+	tr := newTrial(seed, true, defaultPressureAfterMs, 200, NewAdaptive(trialSlots))
+	tr.onceOnlyPercent = 30
+	f := tr.run(2.5)
+	t.Logf("goodputRatio=%.3f recoveryMs=%d onceOnlyRefused=%d", f.goodputRatio, f.recoveryMs, tr.onceOnlyRefused)
+	assert.Equal(t, tr.onceOnlyRefused, 0)
+	assert.Assert(t, f.goodputRatio >= 0.95)
+}
+
 // Guards against an adaptive limit that wastes slots held by calls that wait for a slow downstream service.
 func TestSlowDownstreamTrial(t *testing.T) {
 	for seed := range uint64(3) {
