--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -66,7 +66,7 @@
 	recorder  *decision.Recorder
 	entry     *entry.Handler
 	balancer  *passage.LockedBalancer
-	budget    *passage.LockedBudget
+	budget    *retry.Budget
 
 	servers []*server
 }
@@ -116,8 +116,8 @@
 		Target:   gateway.NewTarget(s.TargetAddress, s.TargetConnections, s.BufferedAnswerBytes),
 		InFlight: n.inFlight, Recorder: n.recorder,
 	})
-	n.balancer = passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig())
-	n.budget = passage.NewLockedBudget(retry.New(0, minRetriesPerSec))
+	n.balancer = passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain))
+	n.budget = retry.New(0, minRetriesPerSec)
 	sender := passage.New(passage.Config{
 		Node: s.NodeName, FailureDomain: s.FailureDomain, Clock: n.clock, Snapshots: n.control, Peers: n.control,
 		Homes: ops, Local: g,
--- a/coltsfootd/passage/passage.go
+++ b/coltsfootd/passage/passage.go
@@ -185,7 +185,7 @@
 	return v, choice, ok
 }
 
-// remoteDistanceMs is the extra time that a call to another failure domain is expected to take.
+// remoteDistanceMs is the round trip to another failure domain.
 const remoteDistanceMs = 1
 
 func (s *Sender) distance(v vm.VM) float64 {
