Add ids, idempotency keys and the outcome table of once-only operations

A key runs only if the seat has been owned since before key time - 2 x maxClockSkewMs, because with one skew a caller whose clock is ahead can have a key accepted by two successive owners. A table accepts no key at or before the latest key whose record it dropped, because otherwise a late copy runs again after the retention.

--- /dev/null
+++ b/core/operation/table.go
@@ -0,0 +1,339 @@
+package operation
+
+import (
+	"container/heap"
+	"net/http"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+)
+
+// Config holds the limits of a table.
+type Config struct {
+	// Node and Incarnation identify the home.
+	Node        string
+	Incarnation uint64
+	// RetentionMs is the time for which an outcome is kept at least.
+	RetentionMs clock.Millis
+	// MaxClockSkewMs bounds the difference between the wall clocks of nodes, see the rule for keys.
+	MaxClockSkewMs clock.Millis
+	// MaxEntries is the number of operations on record. A quarter of it is reserved for sealed operations, so that a
+	// table too full to run an operation can still promise that the operation will not run.
+	MaxEntries int
+	// MaxBodyBytes bounds the stored headers and bodies of all entries together.
+	MaxBodyBytes int
+	// MaxWaiters is the number of waiters for one operation.
+	MaxWaiters int
+}
+
+// Ref identifies the record of an operation in a table.
+type Ref string
+
+// Operation is a once-only operation as its home sees it.
+type Operation struct {
+	ref   Ref
+	id    ID
+	key   Key
+	keyed bool
+	owned Ownership
+}
+
+// Issued returns the operation with a verified issued id.
+func Issued(id ID) Operation {
+	data := appendStrings(nil, "id", id.Account, id.Service, id.Route, id.Node, string(id.Nonce[:]))
+	data = appendUint64s(data, id.Incarnation, uint64(id.ExpiresMs))
+	return Operation{ref: Ref(data), id: id}
+}
+
+// Keyed returns the operation with an idempotency key; owned is this process's ownership of the key's seat. The route
+// is not part of the identity: a changed route table must not turn a repeated request into a second operation.
+func Keyed(account, service string, key Key, owned Ownership) Operation {
+	ref := Ref(appendStrings(nil, "key", account, service, string(key[:])))
+	return Operation{ref: ref, key: key, keyed: true, owned: owned}
+}
+
+// Ref returns the identity of the operation's record.
+func (o Operation) Ref() Ref {
+	return o.ref
+}
+
+// Response is the response of the target to an operation that is done.
+type Response struct {
+	Status int
+	// Header holds the headers that a repeated request gets as well.
+	Header http.Header
+	Body   []byte
+	// BodyDropped is true if header and body did not fit into the byte budget; only the status is kept.
+	BodyDropped bool
+}
+
+func (r Response) size() int {
+	size := len(r.Body)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
+// State is what a table knows of an operation.
+type State struct {
+	Outcome call.Outcome
+	// Reason says why the operation is not run now; empty if it is done, or if it starts now.
+	Reason call.Reason
+	// Start is true if the caller of Begin must run the operation and report to Finish.
+	Start bool
+	// Response is set if the outcome is done.
+	Response Response
+}
+
+// Waiter is a number by which the shell finds a request that waits for the outcome of an earlier one.
+type Waiter uint64
+
+type record struct {
+	ref       Ref
+	outcome   call.Outcome
+	response  Response
+	expiresMs clock.Millis
+	// keyMs is the embedded time of an idempotency key, 0 for an issued id.
+	keyMs   clock.Millis
+	waiters []Waiter
+}
+
+// Table keeps the operations of one home. It is not safe for concurrent use.
+type Table struct {
+	config  Config
+	records map[Ref]*record
+	// finished holds the records with a final outcome, the first to expire on top. Running records never expire.
+	finished  recordHeap
+	bodyBytes int
+	nowMs     clock.Millis
+	// floorMs is the latest embedded time of the keys whose records were dropped.
+	floorMs clock.Millis
+	leaving bool
+	exports uint64
+	imports map[home]*imported
+}
+
+// New returns an empty table.
+func New(config Config) *Table {
+	return &Table{config: config, records: make(map[Ref]*record), imports: make(map[home]*imported)}
+}
+
+// Issue returns a new id of this home that is valid for the retention time; nonce must be random.
+func (t *Table) Issue(account, service, route string, nonce Nonce, now Now) (ID, error) {
+	t.advance(now.MonoMs)
+	if t.leaving {
+		return ID{}, Error.New("the home is leaving")
+	}
+	return ID{
+		Account: account, Service: service, Route: route, Node: t.config.Node, Incarnation: t.config.Incarnation,
+		Nonce: nonce, ExpiresMs: t.nowMs + t.config.RetentionMs,
+	}, nil
+}
+
+// Begin starts the operation if it was never started or sealed and never can have been elsewhere. The state says
+// whether the caller must run it. A new operation is sealed if the table takes no new work.
+func (t *Table) Begin(op Operation, now Now) State {
+	t.advance(now.MonoMs)
+	if r, ok := t.records[op.ref]; ok {
+		return r.state()
+	}
+	if state, ok := t.fresh(op, now); !ok {
+		return state
+	}
+	if t.leaving {
+		return t.seal(op, call.ReasonLeaving)
+	}
+	if len(t.records) >= t.config.MaxEntries-t.config.MaxEntries/4 {
+		return t.seal(op, call.ReasonOperationTableFull)
+	}
+	t.add(op, call.Running)
+	return State{Outcome: call.Running, Start: true}
+}
+
+// Seal makes sure that an operation that was not started never is, and reports its state.
+func (t *Table) Seal(op Operation, now Now) State {
+	t.advance(now.MonoMs)
+	if r, ok := t.records[op.ref]; ok {
+		return r.state()
+	}
+	if state, ok := t.fresh(op, now); !ok {
+		return state
+	}
+	return t.seal(op, call.ReasonOperationSealed)
+}
+
+// Outcome reports what is known of the operation and changes nothing. An operation that was neither started nor sealed
+// is unknown, since it may still be run.
+func (t *Table) Outcome(op Operation, now Now) State {
+	t.advance(now.MonoMs)
+	if r, ok := t.records[op.ref]; ok {
+		return r.state()
+	}
+	if state, ok := t.fresh(op, now); !ok {
+		return state
+	}
+	return unknown(call.ReasonOperationUnknown)
+}
+
+// Finish records the final outcome of an operation that Begin started, and returns the waiters to be told. The outcome
+// notRun is allowed only if the target cannot have received the operation.
+func (t *Table) Finish(ref Ref, outcome call.Outcome, response Response, now Now) ([]Waiter, error) {
+	t.advance(now.MonoMs)
+	r, ok := t.records[ref]
+	if !ok || r.outcome != call.Running {
+		return nil, Error.New("the operation is not running")
+	}
+	if outcome != call.Done && outcome != call.Unknown && outcome != call.OutcomeNotRun {
+		return nil, Error.New("%q is not a final outcome", outcome)
+	}
+	r.outcome = outcome
+	if outcome == call.Done {
+		r.response = t.keep(response)
+	}
+	r.expiresMs = max(r.expiresMs, t.nowMs+t.config.RetentionMs)
+	heap.Push(&t.finished, r)
+	waiters := r.waiters
+	r.waiters = nil
+	return waiters, nil
+}
+
+// Wait adds a waiter for a running operation; false means that the operation is not running or has too many waiters.
+func (t *Table) Wait(ref Ref, waiter Waiter) bool {
+	r, ok := t.records[ref]
+	if !ok || r.outcome != call.Running || len(r.waiters) >= t.config.MaxWaiters {
+		return false
+	}
+	r.waiters = append(r.waiters, waiter)
+	return true
+}
+
+// StopWaiting removes a waiter whose caller has gone.
+func (t *Table) StopWaiting(ref Ref, waiter Waiter) {
+	r, ok := t.records[ref]
+	if !ok {
+		return
+	}
+	for i, w := range r.waiters {
+		if w == waiter {
+			r.waiters = append(r.waiters[:i], r.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// Leave makes the table seal each new operation. It must precede Export.
+func (t *Table) Leave() {
+	t.leaving = true
+}
+
+// Len returns the number of operations on record.
+func (t *Table) Len() int {
+	return len(t.records)
+}
+
+// BodyBytes returns the number of bytes of stored headers and bodies.
+func (t *Table) BodyBytes() int {
+	return t.bodyBytes
+}
+
+// fresh reports whether an operation without a record can neither have been started nor sealed, here or elsewhere.
+// If not, the state is the answer.
+func (t *Table) fresh(op Operation, now Now) (State, bool) {
+	if op.keyed {
+		switch standing(op.key, op.owned, now, t.config.MaxClockSkewMs, t.floorMs) {
+		case keyFresh:
+			return State{}, true
+		case keyFromFuture:
+			return unknown(call.ReasonOperationIDInvalid), false
+		default:
+			return unknown(call.ReasonOperationUnknown), false
+		}
+	}
+	if op.id.Node != t.config.Node || op.id.Incarnation != t.config.Incarnation {
+		return t.foreign(op.id), false
+	}
+	if t.nowMs >= op.id.ExpiresMs {
+		return unknown(call.ReasonOperationExpired), false
+	}
+	return State{}, true
+}
+
+// seal answers notRun only if the promise is on record, or if the home is leaving and starts nothing any more. The heir
+// starts no operation of a closed incarnation, and the next owner of the seat refuses the key for its age.
+func (t *Table) seal(op Operation, reason call.Reason) State {
+	if len(t.records) < t.config.MaxEntries {
+		heap.Push(&t.finished, t.add(op, call.OutcomeNotRun))
+	} else if !t.leaving {
+		return unknown(reason)
+	}
+	return State{Outcome: call.OutcomeNotRun, Reason: reason}
+}
+
+func (t *Table) add(op Operation, outcome call.Outcome) *record {
+	r := &record{ref: op.ref, outcome: outcome, expiresMs: op.id.ExpiresMs}
+	if op.keyed {
+		r.keyMs = op.key.TimeMs()
+		r.expiresMs = t.nowMs + t.config.RetentionMs
+	}
+	t.records[op.ref] = r
+	return r
+}
+
+func (t *Table) keep(response Response) Response {
+	if size := response.size(); t.bodyBytes+size <= t.config.MaxBodyBytes {
+		t.bodyBytes += size
+		return response
+	}
+	return Response{Status: response.Status, BodyDropped: true}
+}
+
+// advance drops the records that have expired. Time never goes back, so a dropped id stays expired.
+func (t *Table) advance(nowMs clock.Millis) {
+	t.nowMs = max(t.nowMs, nowMs)
+	for len(t.finished) > 0 && t.finished[0].expiresMs <= t.nowMs {
+		r := heap.Pop(&t.finished).(*record)
+		t.bodyBytes -= r.response.size()
+		t.floorMs = max(t.floorMs, r.keyMs)
+		delete(t.records, r.ref)
+	}
+	for h, i := range t.imports {
+		if i.forgetMs <= t.nowMs {
+			delete(t.imports, h)
+		}
+	}
+}
+
+func unknown(reason call.Reason) State {
+	return State{Outcome: call.Unknown, Reason: reason}
+}
+
+func (r *record) state() State {
+	state := State{Outcome: r.outcome, Response: r.response}
+	switch r.outcome {
+	case call.Running:
+		state.Reason = call.ReasonOperationRunning
+	case call.OutcomeNotRun:
+		state.Reason = call.ReasonOperationSealed
+	case call.Unknown:
+		state.Reason = call.ReasonOperationUnknown
+	}
+	return state
+}
+
+type recordHeap []*record
+
+func (h recordHeap) Len() int           { return len(h) }
+func (h recordHeap) Less(i, j int) bool { return h[i].expiresMs < h[j].expiresMs }
+func (h recordHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *recordHeap) Push(x any)        { *h = append(*h, x.(*record)) }
+
+func (h *recordHeap) Pop() any {
+	last := len(*h) - 1
+	r := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return r
+}
