--- /dev/null
+++ b/core/config/diff.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors about configuration.
+var Error = errs.Class("config")
+
+const (
+	dictID = 1
+	// MaxValueBytes is the largest section that is accepted. The platform holds values up to 1 MB; the
+	// margin keeps a section usable that grows past that limit.
+	MaxValueBytes = 4 << 20
+	minWindow     = 64 << 10
+)
+
+// Checksum returns the xxhash64 of a section value.
+func Checksum(value []byte) uint64 {
+	return xxhash.Sum64(value)
+}
+
+// Diff returns the difference that Patch needs to turn base into target: target compressed by zstd with
+// base as a raw dictionary. It is exact to the byte, unlike a JSON merge patch, which replaces arrays whole.
+func Diff(base, target []byte) ([]byte, error) {
+	encoder, err := zstd.NewWriter(nil,
+		zstd.WithEncoderDictRaw(dictID, base),
+		zstd.WithEncoderLevel(zstd.SpeedDefault),
+		zstd.WithWindowSize(window(len(base)+len(target))),
+		zstd.WithEncoderConcurrency(1),
+		zstd.WithLowerEncoderMem(true),
+		zstd.WithEncoderCRC(false))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	diff := encoder.EncodeAll(target, nil)
+	return diff, Error.Wrap(encoder.Close())
+}
+
+// Patch applies a difference to base; it fails if the difference is malformed or the result is too large.
+// The caller compares the checksum of the result, since a wrong base can yield a wrong value without an error.
+func Patch(base, diff []byte) ([]byte, error) {
+	decoder, err := zstd.NewReader(nil,
+		zstd.WithDecoderDictRaw(dictID, base),
+		zstd.WithDecoderMaxMemory(MaxValueBytes),
+		zstd.WithDecoderMaxWindow(uint64(window(2*MaxValueBytes))),
+		zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderLowmem(true))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer decoder.Close()
+	value, err := decoder.DecodeAll(diff, nil)
+	if err != nil {
+		return nil, Error.New("difference does not apply: %v", err)
+	}
+	return value, nil
+}
+
+// window returns the smallest power of two that spans size bytes.
+func window(size int) int {
+	return max(minWindow, 1<<bits.Len(uint(size)))
+}
--- /dev/null
+++ b/core/config/doc.go
@@ -0,0 +1,2 @@
+// Package config holds the versioned sections of a node and decides whom to ask for newer ones.
+package config
--- /dev/null
+++ b/core/config/store_test.go
@@ -0,0 +1,172 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/config"
+	"coltsfootusher.example/core/fleet"
+)
+
+var platform = config.Source{Name: config.Platform}
+
+// Guards against lower, invalid and conflicting values replacing the value in force.
+func TestApplyKeepsTheLastGoodValue(t *testing.T) {
+	s := config.New()
+	steps := []struct {
+		version  int64
+		value    string
+		want     config.Outcome
+		repeated bool
+		inForce  int64
+		after    int64
+	}{
+		{3, string(accounts(2, 1)), config.Applied, false, 3, 3},
+		{2, string(accounts(2, 2)), config.Lower, false, 3, 3},
+		{3, " " + string(accounts(2, 1)), config.Confirmed, false, 3, 3},
+		{3, string(accounts(2, 2)), config.Conflict, false, 3, 3},
+		{3, string(accounts(2, 2)), config.Conflict, true, 3, 3},
+		{5, `{"accounts":1}`, config.Rejected, false, 3, 5},
+		{5, `{"accounts":1}`, config.Rejected, true, 3, 5},
+		{5, `{"accounts"`, config.Rejected, false, 3, 5},
+		{4, string(accounts(2, 4)), config.Applied, false, 4, 5},
+		{6, string(accounts(2, 6)), config.Applied, false, 6, 6},
+		{0, string(accounts(2, 6)), config.Lower, false, 6, 6},
+	}
+	for i, step := range steps {
+		got := s.Apply(fleet.Accounts, step.version, json.RawMessage(step.value), platform, clock.Millis(i))
+		assert.Equal(t, got.Outcome, step.want, "step %d: %v", i, got.Err)
+		assert.Equal(t, got.Repeated, step.repeated, "step %d", i)
+		assert.Equal(t, s.Versions(0)[1].Version, step.inForce, "step %d", i)
+		assert.Equal(t, s.Snapshot().Versions[fleet.Accounts], step.inForce, "step %d", i)
+		assert.Equal(t, s.WatchAfter(fleet.Accounts), step.after, "step %d", i)
+	}
+	assert.Equal(t, s.Apply("other", 1, json.RawMessage(`{}`), platform, 0).Outcome, config.Rejected)
+}
+
+// Guards against nodes that are cut off together showing each other a recent confirmation.
+func TestAgeCountsFromThePlatform(t *testing.T) {
+	a, b := config.New(), config.New()
+	a.Apply(fleet.Accounts, 1, accounts(1, 1), platform, 1000)
+	updates := a.UpdatesFor(b.Versions(5000))
+	b.ApplyUpdates(updates, config.Source{Name: "a", AgeMs: a.Versions(5000)[1].AgeMs}, 5000)
+	assert.Equal(t, b.Status(6000)[1].AgeMs, clock.Millis(5000))
+	a.ConfirmPeer("b", b.Versions(8000), 8000)
+	assert.Equal(t, a.Status(8000)[1].AgeMs, clock.Millis(7000))
+	a.ConfirmPlatform(fleet.Accounts, 1, 9000)
+	b.ConfirmPeer("a", a.Versions(9500), 9500)
+	assert.Equal(t, b.Status(9500)[1].AgeMs, clock.Millis(500))
+	assert.Equal(t, b.Status(9500)[1].ConfirmedBy, "a")
+	assert.Equal(t, b.Status(9500)[0].AgeMs, clock.Millis(-1))
+}
+
+// Guards against whole sections being sent for small changes, and against a difference on a wrong base.
+func TestUpdatesAreDifferencesWhereTheBaseIsKnown(t *testing.T) {
+	a, b := config.New(), config.New()
+	for v := int64(1); v <= 100; v++ {
+		a.Apply(fleet.Accounts, v, accounts(200, float64(v)), platform, 0)
+	}
+	whole := a.UpdatesFor([]config.Version{{Name: fleet.Accounts, Version: 2}})
+	assert.Equal(t, len(whole), 1)
+	assert.Equal(t, whole[0].BaseVersion, int64(0))
+	b.Apply(fleet.Accounts, 90, accounts(200, 90), platform, 0)
+	chain := a.UpdatesFor(b.RequestVersions(0))
+	assert.Equal(t, len(chain), 10)
+	assert.Equal(t, b.ApplyUpdates(chain, platform, 0)[0].Outcome, config.Applied)
+	assert.DeepEqual(t, a.Snapshot().Accounts, b.Snapshot().Accounts)
+	assert.DeepEqual(t, b.UpdatesFor([]config.Version{{Name: fleet.Accounts, Version: 95}}), chain[5:])
+
+	c := config.New()
+	c.Apply(fleet.Accounts, 98, accounts(200, 98), platform, 0)
+	assert.Equal(t, c.ApplyUpdates(chain[9:], platform, 0)[0].Outcome, config.BaseUnknown)
+	c.Apply(fleet.Accounts, 99, accounts(200, 1), platform, 0)
+	assert.Equal(t, c.ApplyUpdates(chain[9:], platform, 0)[0].Outcome, config.Mismatch)
+	assert.Equal(t, c.RequestVersions(0)[1].Version, int64(0))
+	assert.Equal(t, c.ApplyUpdates(a.UpdatesFor(c.RequestVersions(0)), platform, 0)[0].Outcome, config.Applied)
+	assert.Equal(t, c.RequestVersions(0)[1].Version, int64(100))
+}
+
+// message is a sync reply on its way to a store.
+type message struct {
+	to      int
+	updates []config.Update
+}
+
+// Guards against a version falling within a process, and against stores that can reach each other staying
+// apart, with a stale platform, invalid values, restarts, lost, repeated and reordered messages, and
+// operators who publish the same version with different values.
+func TestVersionsNeverFallAndConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 4
+		stores, high := make([]*config.Store, n), make([]int64, n)
+		for i := range stores {
+			stores[i] = config.New()
+		}
+		type publication struct {
+			version int64
+			value   []byte
+		}
+		var published []publication
+		var inFlight []message
+		node := rapid.IntRange(0, n-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				version := int64(len(published) + 1 - rapid.IntRange(0, 1).Draw(t, "race"))
+				value := accounts(3, float64(rapid.IntRange(1, 9).Draw(t, "rate")))
+				if rapid.IntRange(0, 4).Draw(t, "bad") == 0 {
+					value = fmt.Appendf(nil, `{"accounts":%d}`, version)
+				}
+				published = append(published, publication{version, value})
+			},
+			"read platform": func(t *rapid.T) {
+				if len(published) > 0 {
+					p := rapid.SampledFrom(published).Draw(t, "replica")
+					stores[node.Draw(t, "node")].Apply(fleet.Accounts, p.version, p.value, platform, 0)
+				}
+			},
+			"reply": func(t *rapid.T) {
+				from, to := node.Draw(t, "from"), node.Draw(t, "to")
+				inFlight = append(inFlight, message{to, stores[from].UpdatesFor(stores[to].RequestVersions(0))})
+			},
+			"deliver": func(t *rapid.T) {
+				if len(inFlight) > 0 {
+					m := rapid.SampledFrom(inFlight).Draw(t, "message")
+					stores[m.to].ApplyUpdates(m.updates, platform, 0)
+				}
+			},
+			"restart": func(t *rapid.T) {
+				i := node.Draw(t, "node")
+				stores[i], high[i] = config.New(), 0
+			},
+			"": func(t *rapid.T) {
+				for i, s := range stores {
+					v := s.Snapshot().Versions[fleet.Accounts]
+					if v < high[i] {
+						t.Fatalf("store %d fell from version %d to %d", i, high[i], v)
+					}
+					high[i] = v
+				}
+			},
+		})
+		for range 2 * n {
+			for i, s := range stores {
+				next := stores[(i+1)%n]
+				next.ApplyUpdates(s.UpdatesFor(next.RequestVersions(0)), platform, 0)
+			}
+		}
+		top := int64(0)
+		for i := range high {
+			top = max(top, high[i])
+		}
+		for i, s := range stores {
+			if v := s.Snapshot().Versions[fleet.Accounts]; v != top {
+				t.Fatalf("store %d has version %d, the highest is %d", i, v, top)
+			}
+		}
+	})
+}
