--- a/core/config/diff_test.go
+++ b/core/config/diff_test.go
@@ -32,7 +32,7 @@
 
 // Guards against a difference that grows with the section instead of with the change.
 func TestDiffIsSmallAndExact(t *testing.T) {
-	for _, n := range []int{1, 100, 1000, 7000} {
+	for _, n := range []int{1, 2, 100, 1000, 7000} {
 		base, target := accounts(n, 1), accounts(n, 2)
 		diff, err := config.Diff(base, target)
 		assert.NilError(t, err)
@@ -43,6 +43,30 @@
 	}
 }
 
+// Guards against tiny sections, from which no dictionary of any use can be made, failing to be sent.
+func TestDiffOfTinyValues(t *testing.T) {
+	for _, base := range []string{"{}", "[]", `{"accounts":[]}`} {
+		for _, target := range []string{"{}", `{"accounts":[]}`, string(accounts(1, 1))} {
+			diff, err := config.Diff([]byte(base), []byte(target))
+			assert.NilError(t, err)
+			got, err := config.Patch([]byte(base), diff)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), target)
+		}
+	}
+}
+
+// Guards against a damaged or oversized difference exhausting the memory or ending the process.
+func TestPatchRefusesMalformedDifferences(t *testing.T) {
+	base := accounts(10, 1)
+	huge, err := config.Diff(base, make([]byte, config.MaxValueBytes+1))
+	assert.NilError(t, err)
+	for _, diff := range [][]byte{[]byte("no zstd frame"), huge, huge[:len(huge)/2]} {
+		_, err := config.Patch(base, diff)
+		assert.ErrorContains(t, err, "difference does not apply")
+	}
+}
+
 func BenchmarkDiff(b *testing.B) {
 	for _, n := range []int{100, 1000, 10000} {
 		base, target := accounts(n, 1), accounts(n, 2)
@@ -69,13 +93,29 @@
 	}
 }
 
-func BenchmarkSnapshotWith(b *testing.B) {
+// BenchmarkApply measures one changed account that arrives as a difference, and the decoding alone.
+func BenchmarkApply(b *testing.B) {
 	for _, n := range []int{100, 1000, 10000} {
-		value := accounts(n, 1)
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			b.ReportAllocs()
+		base, target := accounts(n, 1), accounts(n, 2)
+		server := config.New()
+		server.Apply(fleet.Accounts, 1, base, platform, 0)
+		server.Apply(fleet.Accounts, 2, target, platform, 0)
+		updates := server.UpdatesFor([]config.Version{{Name: fleet.Accounts, Version: 1}})
+		b.Run(fmt.Sprintf("difference-%d", n), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				s := config.New()
+				s.Apply(fleet.Accounts, 1, base, platform, 0)
+				b.StartTimer()
+				if got := s.ApplyUpdates(updates, platform, 0); got[0].Outcome != config.Applied {
+					b.Fatal(got[0].Err)
+				}
+			}
+			b.ReportMetric(float64(len(updates[0].Value)), "diffBytes")
+		})
+		b.Run(fmt.Sprintf("decode-%d", n), func(b *testing.B) {
 			for b.Loop() {
-				if _, err := (&fleet.Snapshot{}).With(fleet.Accounts, 1, value); err != nil {
+				if _, err := (&fleet.Snapshot{}).With(fleet.Accounts, 1, target); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/core/config/store_test.go
+++ b/core/config/store_test.go
@@ -89,6 +89,12 @@
 	assert.Equal(t, c.RequestVersions(0)[1].Version, int64(0))
 	assert.Equal(t, c.ApplyUpdates(a.UpdatesFor(c.RequestVersions(0)), platform, 0)[0].Outcome, config.Applied)
 	assert.Equal(t, c.RequestVersions(0)[1].Version, int64(100))
+
+	d := config.New()
+	d.Apply(fleet.Accounts, 99, accounts(200, 1), platform, 0)
+	assert.Equal(t, d.ApplyUpdates(chain[9:], platform, 0)[0].Outcome, config.Mismatch)
+	d.Apply(fleet.Accounts, 100, accounts(200, 100), platform, 0)
+	assert.Equal(t, d.RequestVersions(0)[1].Version, int64(100), "the platform served the whole section")
 }
 
 // message is a sync reply on its way to a store.
