--- /dev/null
+++ b/core/config/diff_test.go
@@ -0,0 +1,124 @@
+package config_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/config"
+	"coltsfootusher.example/core/fleet"
+)
+
+// accounts returns a section of n accounts in which the account in the middle has the given rate.
+func accounts(n int, rate float64) []byte {
+	section := account.Section{}
+	for i := range n {
+		section.Accounts = append(section.Accounts, account.Account{
+			ID: fmt.Sprintf("account-%05d", i), KeyHashes: []string{account.HashKey(fmt.Sprint("key", i))},
+			RatePerSecond: float64(100 + i%50), Burst: 50, Weight: 1})
+	}
+	section.Accounts[n/2].RatePerSecond = rate
+	section.Accounts[n/2].KeyHashes = []string{account.HashKey(fmt.Sprint("new", rate))}
+	value, err := json.Marshal(section)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// Guards against a difference that grows with the section instead of with the change.
+func TestDiffIsSmallAndExact(t *testing.T) {
+	for _, n := range []int{1, 2, 100, 1000, 7000} {
+		base, target := accounts(n, 1), accounts(n, 2)
+		diff, err := config.Diff(base, target)
+		assert.NilError(t, err)
+		assert.Assert(t, len(diff) < 1024, "%d accounts: %d bytes", n, len(diff))
+		got, err := config.Patch(base, diff)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, target))
+	}
+}
+
+// Guards against tiny sections, from which no dictionary of any use can be made, failing to be sent.
+func TestDiffOfTinyValues(t *testing.T) {
+	for _, base := range []string{"{}", "[]", `{"accounts":[]}`} {
+		for _, target := range []string{"{}", `{"accounts":[]}`, string(accounts(1, 1))} {
+			diff, err := config.Diff([]byte(base), []byte(target))
+			assert.NilError(t, err)
+			got, err := config.Patch([]byte(base), diff)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), target)
+		}
+	}
+}
+
+// Guards against a damaged or oversized difference exhausting the memory or ending the process.
+func TestPatchRefusesMalformedDifferences(t *testing.T) {
+	base := accounts(10, 1)
+	huge, err := config.Diff(base, make([]byte, config.MaxValueBytes+1))
+	assert.NilError(t, err)
+	for _, diff := range [][]byte{[]byte("no zstd frame"), huge, huge[:len(huge)/2]} {
+		_, err := config.Patch(base, diff)
+		assert.ErrorContains(t, err, "difference does not apply")
+	}
+}
+
+func BenchmarkDiff(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		base, target := accounts(n, 1), accounts(n, 2)
+		diff, err := config.Diff(base, target)
+		assert.NilError(b, err)
+		b.Run(fmt.Sprintf("compute-%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := config.Diff(base, target); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(diff)), "diffBytes")
+			b.ReportMetric(float64(len(target)), "valueBytes")
+		})
+		b.Run(fmt.Sprintf("patch-%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := config.Patch(base, diff); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkApply measures one changed account that arrives as a difference, and the decoding alone.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		base, target := accounts(n, 1), accounts(n, 2)
+		server := config.New()
+		server.Apply(fleet.Accounts, 1, base, platform, 0)
+		server.Apply(fleet.Accounts, 2, target, platform, 0)
+		updates := server.UpdatesFor([]config.Version{{Name: fleet.Accounts, Version: 1}})
+		b.Run(fmt.Sprintf("difference-%d", n), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				s := config.New()
+				s.Apply(fleet.Accounts, 1, base, platform, 0)
+				b.StartTimer()
+				if got := s.ApplyUpdates(updates, platform, 0); got[0].Outcome != config.Applied {
+					b.Fatal(got[0].Err)
+				}
+			}
+			b.ReportMetric(float64(len(updates[0].Value)), "diffBytes")
+		})
+		b.Run(fmt.Sprintf("decode-%d", n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := (&fleet.Snapshot{}).With(fleet.Accounts, 1, target); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
