--- a/standin/launch/process.go
+++ b/standin/launch/process.go
@@ -33,6 +33,8 @@
 	//nolint:gosec // The programs are the project's own.
 	cmd := exec.CommandContext(context.WithoutCancel(ctx), program, args...)
 	cmd.Stderr = logs
+	// A program built with the race detector ends at the first race, so that a test notices it.
+	cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1")
 	stdout, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, Error.Wrap(err)
