Add fenced seat ownership

Change: core/seat derives owners from the VM list and stores only lists, reports and seats in transition. Conclusion: usable by limit and operation; a skipped list version costs one fence for all seats of the node.

--- /dev/null
+++ b/core/seat/seat_test.go
@@ -0,0 +1,242 @@
+package seat_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/seat"
+)
+
+var keys = func() (keys []string) {
+	for i := range 16 {
+		keys = append(keys, seat.Key("laurel", "a", i))
+	}
+	return keys
+}()
+
+// domain is a failure domain of simulated nodes that exchange reports and releases.
+type domain struct {
+	nodes       map[string]*seat.Fence
+	blocked     map[string]bool
+	incarnation uint64
+	now         clock.Millis
+}
+
+func newDomain(list seat.List) *domain {
+	d := &domain{nodes: map[string]*seat.Fence{}, blocked: map[string]bool{}, now: 100000}
+	for _, name := range list.VMs {
+		d.start(name, list)
+	}
+	return d
+}
+
+func (d *domain) start(name string, list seat.List) {
+	d.incarnation++
+	d.nodes[name] = seat.New(name, d.incarnation, seat.Config{})
+	d.nodes[name].SetList(list, d.now)
+}
+
+// exchange lets every node hear from every node that it reaches and advances the time.
+func (d *domain) exchange(step clock.Millis) {
+	sent := d.now
+	for name, n := range d.nodes {
+		for other, o := range d.nodes {
+			if name != other && !d.blocked[name+other] && !d.blocked[other+name] {
+				n.Acknowledge(o.Report(sent), sent, d.now)
+			}
+		}
+		n.Tick(d.now)
+	}
+	d.now += step
+}
+
+func (d *domain) owners(key string) (owners []string) {
+	for name, n := range d.nodes {
+		if _, ok := n.Owned(key, d.now); ok {
+			owners = append(owners, name)
+		}
+	}
+	return owners
+}
+
+func (d *domain) owned() (count int) {
+	for _, key := range keys {
+		count += len(d.owners(key))
+	}
+	return count
+}
+
+// Guards against a fresh fleet, or a domain of one VM, that waits for owners that never existed.
+func TestFreshFleetOwnsAllSeatsAtOnce(t *testing.T) {
+	for _, names := range [][]string{{"a"}, {"a", "b"}, {"a", "b", "c", "d"}} {
+		d := newDomain(seat.NewList(1, names))
+		d.exchange(1)
+		d.exchange(1)
+		assert.Equal(t, d.owned(), len(keys))
+	}
+}
+
+// Guards against a joining VM that takes seats while the owner still uses them, or that never gets them.
+func TestJoiningVMGetsSeatsByFenceOrRelease(t *testing.T) {
+	for _, release := range []bool{false, true} {
+		d := newDomain(seat.NewList(1, []string{"a", "b", "c"}))
+		d.exchange(1)
+		d.now += 20000
+		d.exchange(500)
+		d.exchange(500)
+		next := seat.NewList(2, []string{"a", "b", "c", "d"})
+		d.start("d", next)
+		for _, name := range []string{"a", "b", "c"} {
+			d.nodes[name].SetList(next, d.now)
+		}
+		d.exchange(500)
+		assert.Assert(t, d.owned() < len(keys), "the joining VM must wait")
+		if release {
+			third := seat.NewList(3, []string{"a", "b", "d"})
+			for range 15 {
+				d.exchange(1000)
+			}
+			for _, n := range d.nodes {
+				n.SetList(third, d.now)
+			}
+			d.exchange(0)
+			moved := 0
+			for name, n := range d.nodes {
+				for _, r := range n.Requests(keys, d.now) {
+					reply, ok := d.nodes[r.Owner].Release(r.Key, r.Version, d.now)
+					assert.Assert(t, ok, "%s asks %s", name, r.Owner)
+					assert.Assert(t, n.Released(reply, d.now))
+					moved++
+				}
+			}
+			delete(d.nodes, "c")
+			assert.Assert(t, moved > 0)
+			assert.Equal(t, d.owned(), len(keys), "a release ends the wait")
+			continue
+		}
+		for range 15 {
+			d.exchange(1000)
+		}
+		assert.Equal(t, d.owned(), len(keys))
+	}
+}
+
+// Guards against a node that keeps minting without a majority, after a pause, or right after a restart.
+func TestOwnershipNeedsRecentConfirmation(t *testing.T) {
+	cases := []struct {
+		name  string
+		event func(d *domain)
+	}{
+		{"cut off", func(d *domain) { d.now += 5000 }},
+		{"paused", func(d *domain) { d.nodes["a"].Paused(d.now) }},
+		{"restarted", func(d *domain) { d.start("a", seat.NewList(2, []string{"a", "b", "c"})) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDomain(seat.NewList(1, []string{"a", "b", "c"}))
+			d.exchange(0)
+			for _, n := range d.nodes {
+				n.SetList(seat.NewList(2, []string{"a", "b", "c"}), d.now)
+			}
+			d.exchange(1000)
+			c.event(d)
+			for _, key := range keys {
+				_, ok := d.nodes["a"].Owned(key, d.now)
+				assert.Assert(t, !ok)
+			}
+			for range 12 {
+				d.exchange(1000)
+			}
+			assert.Equal(t, d.owned(), len(keys))
+		})
+	}
+}
+
+// Guards against two nodes that may use one seat at the same time, over lists seen at different times and with
+// gaps, lost, late and repeated reports, restarts into a list in use, pauses and releases.
+func TestNoSeatHasTwoOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d", "e"}
+		lists := []seat.List{seat.NewList(1, names[:rapid.IntRange(1, 4).Draw(t, "size")])}
+		d := newDomain(lists[0])
+		d.exchange(1)
+		type late struct {
+			to     string
+			report seat.Report
+			sent   clock.Millis
+		}
+		var pool []late
+		joins := clock.Millis(0)
+		name := rapid.SampledFrom(names)
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			who := name.Draw(t, "vm")
+			n := d.nodes[who]
+			other := d.nodes[name.Draw(t, "other")]
+			switch action := rapid.IntRange(0, 9).Draw(t, "action"); {
+			case action == 0 && d.now > joins && len(lists[len(lists)-1].VMs) > 2:
+				last := lists[len(lists)-1]
+				var next []string
+				for _, v := range last.VMs {
+					if v != who {
+						next = append(next, v)
+					}
+				}
+				if len(next) == len(last.VMs) {
+					next = append(next, who)
+				}
+				lists = append(lists, seat.NewList(last.Version+1, next))
+				joins = d.now + 10000
+			case action == 1 && n != nil:
+				n.SetList(lists[len(lists)-1], d.now)
+			case action == 1:
+				d.start(who, lists[len(lists)-1])
+			case action == 2 && n != nil:
+				n.Paused(d.now)
+			case action == 3 && n != nil && rapid.IntRange(0, 3).Draw(t, "restart") == 0:
+				d.start(who, lists[len(lists)-1])
+			case action == 4 && n != nil:
+				for _, r := range n.Requests(keys, d.now) {
+					if owner := d.nodes[r.Owner]; owner != nil {
+						if reply, ok := owner.Release(r.Key, r.Version, d.now); ok && rapid.Bool().Draw(t, "arrives") {
+							n.Released(reply, d.now)
+						}
+					}
+				}
+			case action <= 6 && n != nil && other != nil:
+				pool = append(pool, late{who, other.Report(d.now), d.now})
+			case action == 7 && len(pool) > 0:
+				m := rapid.SampledFrom(pool).Draw(t, "message")
+				d.nodes[m.to].Acknowledge(m.report, m.sent, d.now)
+			default:
+				d.now += clock.Millis(rapid.IntRange(0, 1500).Draw(t, "ms"))
+				if rapid.Bool().Draw(t, "exchange") {
+					d.exchange(1)
+				}
+			}
+			for _, key := range keys {
+				if owners := d.owners(key); len(owners) > 1 {
+					t.Fatalf("%s has owners %v at %d", key, owners, d.now)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a changed hash, which would make nodes of different releases disagree about owners.
+func TestOwnerIsStableAndMovesFewSeats(t *testing.T) {
+	var names []string
+	for i := range 20 {
+		names = append(names, fmt.Sprintf("vm%02d", i))
+	}
+	before, after := seat.NewList(1, names), seat.NewList(2, names[:19])
+	for i := range 1000 {
+		key := seat.Key("laurel", "a", i)
+		if owner := before.Owner(key); owner != "vm19" {
+			assert.Equal(t, after.Owner(key), owner)
+		}
+	}
+}
