Run once-only operations at their homes

Cause: the node refused every once-only call. Change: coltsfootd/operations issues and verifies ids, runs an operation at most once at its home, seals, answers queries, hands the table over on a graceful stop and finds the heirs; child ids of inner calls stay with the parent in flight. A started operation is bounded by 20 s and not by its caller. A second heir also answers for incarnations whose first heir stopped (operation.Table.Closures). The entry reads the id before the body, so that later refusals can seal. EHOSTUNREACH on an open connection no longer counts as "never sent", an answer that only the end of the connection ends counts as cut, and the outcome unknown no longer comes with Coltsfoot-Run: notRun.

--- a/coltsfootd/answer/answer.go
+++ b/coltsfootd/answer/answer.go
@@ -127,8 +127,13 @@
 }
 
 // Read reads an HTTP response into an answer, buffering at most limit bytes of its body.
-// It returns an error if the body ends before its announced length or end.
+// It returns an error if the body ends before its announced length or end, or if neither is announced: a body that
+// only the end of the connection ends can't be told from one that was cut.
 func Read(response *http.Response, limit int64) (Answer, error) {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
+		_ = response.Body.Close()
+		return Answer{}, io.ErrUnexpectedEOF
+	}
 	a := Answer{Status: response.StatusCode, Header: response.Header}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
--- a/coltsfootd/egress/egress.go
+++ b/coltsfootd/egress/egress.go
@@ -141,5 +141,10 @@
 		AtMs: h.Clock.Now(), Part: "egress", RequestID: c.RequestID, Account: c.Account, Route: c.Route,
 		Action: "inner call refused", Node: h.Node, Reason: reason, Depth: c.Depth, FactAgeMs: -1,
 	})
-	answer.Refuse(reason).Write(w)
+	a := answer.Refuse(reason)
+	if c.Class == route.OnceOnly {
+		// Without an id the operation was never sent and never can be.
+		a.Result.Outcome = call.OutcomeNotRun
+	}
+	a.Write(w)
 }
--- a/coltsfootd/entry/entry.go
+++ b/coltsfootd/entry/entry.go
@@ -41,7 +41,8 @@
 
 // Operations identifies once-only operations and answers questions about them.
 type Operations interface {
-	// Identify returns the operation id of a request, or the reason why it has none that is valid.
+	// Identify returns the operation id of a request, or the reason why it has none that is valid. An id that comes
+	// with a reason is genuine, so that its operation may have run.
 	Identify(header http.Header, c call.Call) (id string, reason call.Reason)
 	// Seal makes sure that the operation never starts and returns its outcome.
 	Seal(ctx context.Context, c call.Call) call.Outcome
@@ -110,14 +111,14 @@
 // handle returns nil if the response was written already.
 func (h *Handler) handle(w http.ResponseWriter, r *http.Request, requestID string, received clock.Millis) *answer.Answer {
 	c := call.Call{RequestID: requestID, Method: r.Method, Path: r.URL.RequestURI()}
-	if h.leaving.Load() {
-		return h.refuse(c, call.ReasonLeaving, received)
-	}
 	if err := h.Holder.Wait(r.Context()); err != nil {
 		return h.refuse(c, call.ReasonNotReady, received)
 	}
 	snapshot := h.Snapshots.Current()
 	if isOperationsPath(r.URL.Path) {
+		if h.leaving.Load() {
+			return h.refuse(c, call.ReasonLeaving, received)
+		}
 		a, reason := authenticate(snapshot, r, route.Route{})
 		if reason != "" {
 			return h.refuse(c, reason, received)
@@ -139,6 +140,15 @@
 		return h.refuse(c, reason, received)
 	}
 	c.Account = acct.ID
+	// The id comes first, so that each later refusal can seal the operation.
+	if c.Class == route.OnceOnly {
+		if c.OperationID, reason = h.Operations.Identify(r.Header, c); reason != "" {
+			return h.refuse(c, reason, received)
+		}
+	}
+	if h.leaving.Load() {
+		return h.refuse(c, call.ReasonLeaving, received)
+	}
 	body, reason := readBody(r, h.MaxBody)
 	if reason != "" {
 		return h.refuse(c, reason, received)
@@ -147,11 +157,6 @@
 		return h.refuse(c, call.ReasonKeyExposed, received)
 	}
 	c.Fingerprint = fingerprint(c, body)
-	if c.Class == route.OnceOnly {
-		if c.OperationID, reason = h.Operations.Identify(r.Header, c); reason != "" {
-			return h.refuse(c, reason, received)
-		}
-	}
 	return h.send(r, c, acct, snapshot.Presets.InForce(), found, body, received)
 }
 
@@ -192,6 +197,9 @@
 		Deadline: received + c.TimeoutMs, Allowance: retry.NewAllowance(p.RetryAllowance),
 	})
 	a.Result.Node = h.Node
+	if c.Class == route.OnceOnly && a.Result.Outcome == "" {
+		a.Result.Outcome = call.Unknown
+	}
 	h.record(c, "call finished", a.Result.Reason, received)
 	return &a
 }
--- a/coltsfootd/gateway/gateway.go
+++ b/coltsfootd/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"coltsfootusher.example/coltsfootd/answer"
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/inflight"
+	"coltsfootusher.example/coltsfootd/transport"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/fleet"
@@ -31,6 +33,7 @@
 
 // OnceOnly runs once-only operations at most once and remembers their outcomes.
 type OnceOnly interface {
+	// Run waits for the outcome until ctx ends; the context of execute is bounded but does not end with ctx.
 	Run(ctx context.Context, c call.Call, execute func(ctx context.Context) answer.Answer) answer.Answer
 }
 
@@ -96,16 +99,17 @@
 		return g.admit(ctx, c, header, body, deadline)
 	}
 	if c.Class == route.OnceOnly {
-		// A started operation runs to its end although its caller has gone, so that its outcome is known.
-		return g.OnceOnly.Run(context.WithoutCancel(ctx), c, execute)
+		a := g.OnceOnly.Run(ctx, c, execute)
+		a.Result.AllowanceLeft = min(a.Result.AllowanceLeft, c.Allowance)
+		return a
 	}
 	return execute(ctx)
 }
 
 func (g *Gateway) admit(ctx context.Context, c call.Call, header http.Header, body []byte, deadline clock.Millis) answer.Answer {
-	ctx, cancel := context.WithTimeout(ctx, max(0, deadline-g.Clock.Now()).Duration())
+	waiting, cancel := context.WithTimeout(ctx, max(0, deadline-g.Clock.Now()).Duration())
 	defer cancel()
-	leave, ok := g.Suspects.Enter(ctx, c)
+	leave, ok := g.Suspects.Enter(waiting, c)
 	if !ok {
 		return refuse(c, call.ReasonPoison)
 	}
@@ -113,13 +117,22 @@
 	defer func() { leave(died) }()
 
 	entered := g.Clock.Now()
-	d := g.Admission.Enter(ctx, g.request(c, entered, deadline))
+	d := g.Admission.Enter(waiting, g.request(c, entered, deadline))
 	if !d.Admitted {
+		if d.Reason == call.ReasonCallerGone && errors.Is(waiting.Err(), context.DeadlineExceeded) {
+			d.Reason = call.ReasonDeadlineExceeded
+		}
 		a := refuse(c, d.Reason)
 		a.Result.RetryAfterMs = d.RetryAfterMs
 		return a
 	}
 	g.record(c, "call admitted", "", entered)
+	if c.Class == route.OnceOnly {
+		// A started operation goes on after the deadline of its caller, within the bound that ctx sets.
+		deadline = g.Clock.Now() + transport.Remaining(ctx, c.TimeoutMs)
+	} else {
+		ctx = waiting
+	}
 	a, targetDied := g.run(ctx, d.ID, c, header, body, deadline)
 	died = targetDied
 	return a
--- a/coltsfootd/gateway/target.go
+++ b/coltsfootd/gateway/target.go
@@ -93,7 +93,7 @@
 // failure classifies an error by whether the target can have received the request.
 func (t *Target) failure(ctx context.Context, c call.Call, err error) answer.Answer {
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case transport.DialFailed(err) && errors.Is(err, syscall.ECONNREFUSED):
 		return refuse(c, call.ReasonTargetDown)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return answer.Fail(call.ReasonDeadlineExceeded)
--- a/coltsfootd/inflight/inflight.go
+++ b/coltsfootd/inflight/inflight.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"strconv"
 	"sync"
 
 	"github.com/zeebo/errs"
@@ -27,43 +26,47 @@
 	// Done is closed when the request has ended.
 	Done <-chan struct{}
 
-	mu        sync.Mutex
-	positions map[string]int
-	children  map[string]string
+	mu       sync.Mutex
+	children map[string]*child
 }
 
-// Position returns the number of earlier inner calls with the same service and path, as a text.
-func (p *Parent) Position(service, path string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.positions == nil {
-		p.positions = make(map[string]int)
-	}
-	key := service + " " + path
-	position := p.positions[key]
-	p.positions[key]++
-	return key + " " + strconv.Itoa(position)
+// child is an inner once-only call; its lock is held while its id is obtained.
+type child struct {
+	mu sync.Mutex
+	id string
 }
 
-// ChildID returns the operation id kept under the position; derive makes it the first time.
+// ChildID returns the operation id kept under the position; derive makes it the first time, and again after an error.
 // The id stays the same while the parent is in flight, so that a repeated inner call reaches the same home.
 func (p *Parent) ChildID(position string, derive func() (string, error)) (string, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if id, ok := p.children[position]; ok {
-		return id, nil
+	c := p.child(position)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.id != "" {
+		return c.id, nil
 	}
 	id, err := derive()
 	if err != nil {
 		return "", err
 	}
-	if p.children == nil {
-		p.children = make(map[string]string)
-	}
-	p.children[position] = id
+	c.id = id
 	return id, nil
 }
 
+func (p *Parent) child(position string) *child {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.children[position]
+	if !ok {
+		c = &child{}
+		if p.children == nil {
+			p.children = make(map[string]*child)
+		}
+		p.children[position] = c
+	}
+	return c
+}
+
 // Table maps handles to requests in flight; it is safe for concurrent use.
 type Table struct {
 	mu      sync.RWMutex
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -36,6 +36,7 @@
 	"coltsfootusher.example/core/preset"
 	"coltsfootusher.example/core/retry"
 	"coltsfootusher.example/peer/auth"
+	"coltsfootusher.example/peer/peerpb"
 )
 
 // Error is the class of errors that end a node.
@@ -68,6 +69,9 @@
 	balancer  *passage.LockedBalancer
 	budget    *retry.Budget
 
+	operations *operations.Service
+	seats      *operations.ListSeats
+
 	servers []*server
 }
 
@@ -98,6 +102,10 @@
 	n.recorder = decision.New(n.logger, metrics, recentDecisions, s.LogSamplePerSecond)
 	client := platform.New(s.PlatformAddress, s.NodeName, transport.New(s.SourceAddress(), 0, platformIdleConns))
 	n.control = control.New(client, s.WatchWaitMs, logging.Part(n.logger, "control"))
+	n.balancer = passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain))
+	if err := n.buildOperations(secret, signer); err != nil {
+		return nil, err
+	}
 	n.buildTraffic(signer, metrics)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
@@ -109,14 +117,13 @@
 func (n *Node) buildTraffic(signer *auth.Signer, metrics *expvar.Map) {
 	s := n.settings
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
-	ops := operations.New()
+	ops := n.operations
 	g := gateway.New(gateway.Config{
 		Node: s.NodeName, Incarnation: n.incarnation, Service: s.Service, Clock: n.clock, Snapshots: n.control,
 		Holder: n.control, OnceOnly: ops, Suspects: operations.NoSuspects{}, Admission: n.admission,
 		Target:   gateway.NewTarget(s.TargetAddress, s.TargetConnections, s.BufferedAnswerBytes),
 		InFlight: n.inFlight, Recorder: n.recorder,
 	})
-	n.balancer = passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain))
 	n.budget = retry.New(0, minRetriesPerSec)
 	sender := passage.New(passage.Config{
 		Node: s.NodeName, FailureDomain: s.FailureDomain, Clock: n.clock, Snapshots: n.control, Peers: n.control,
@@ -131,7 +138,7 @@
 	n.servers = []*server{
 		{name: "entry", http: newServer(n.entry, s.MaxHeaderBytes)},
 		{name: "peer", http: newServer(peerserver.New(peerserver.Config{
-			Signer: signer, Gateway: g, Control: http.NotFoundHandler(), MaxBody: maxPeerMessageSize,
+			Signer: signer, Gateway: g, Control: peerpb.NewControlServer(controlServer{operations: ops}), MaxBody: maxPeerMessageSize,
 			Logger: logging.Part(n.logger, "peer"), Metrics: metrics,
 		}), s.MaxHeaderBytes)},
 		{name: "egress", http: newServer(egress.New(egress.Config{
@@ -206,11 +213,16 @@
 func (n *Node) shutdown() error {
 	_ = level.Info(n.logger).Log("part", "node", "msg", "shutdown started")
 	n.leaving.Store(true)
+	n.operations.Leave()
 	n.entry.SetLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeoutMs.Duration())
 	defer cancel()
 	var failures errs.Group
-	for _, srv := range n.servers {
+	for i, srv := range n.servers {
+		if i == 1 {
+			// The callers of this entry have their answers; the peers can still ask while the table is handed over.
+			failures.Add(n.closeOperations(ctx))
+		}
 		if err := srv.http.Shutdown(ctx); err != nil {
 			failures.Add(Error.New("%s: requests were cut after drainTimeoutMs: %v", srv.name, err))
 		}
@@ -229,6 +241,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			n.seats.Observe(n.clock.Now())
 			if snapshot := n.control.Current(); snapshot != applied && snapshot.Complete() {
 				n.apply(snapshot)
 				applied = snapshot
--- /dev/null
+++ b/coltsfootd/operations/handover.go
@@ -0,0 +1,98 @@
+package operations
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/core/operation"
+	"coltsfootusher.example/core/vm"
+	"coltsfootusher.example/peer/peerpb"
+)
+
+// partBytes is the size of one part of a handover; its JSON stays below the largest peer message.
+const partBytes = 512 << 10
+
+// Leave makes the home seal each new operation; running ones go on.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	s.table.Leave()
+}
+
+// Drain waits until no operation is running; it returns the error of ctx if that ends first. Leave must precede it.
+func (s *Service) Drain(ctx context.Context) error {
+	idle := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close hands the table over to two peers of the failure domain. Leave must precede it.
+func (s *Service) Close(ctx context.Context) error {
+	s.mu.Lock()
+	now := s.now()
+	parts, err := s.table.Export(now, partBytes)
+	closures := s.table.Closures(now)
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	taken := 0
+	for _, v := range s.rank(s.config.Node, s.config.FailureDomain) {
+		if !s.config.Peers.MayServe(v) {
+			continue
+		}
+		// The closures follow the records, see operation.Table.Closures.
+		if err := s.handOver(ctx, v, append(parts, closures...)); err != nil {
+			_ = level.Warn(s.config.Logger).Log("msg", "operation table not handed over", "to", v.Name, "err", err)
+			continue
+		}
+		_ = level.Info(s.config.Logger).Log("msg", "operation table handed over", "to", v.Name, "parts", len(parts),
+			"closures", len(closures))
+		if taken++; taken == heirs {
+			return nil
+		}
+	}
+	if taken == 0 {
+		return Error.New("no peer of the failure domain took the operation table")
+	}
+	return nil
+}
+
+func (s *Service) handOver(ctx context.Context, v vm.VM, parts []operation.Handover) error {
+	for _, part := range parts {
+		data, err := json.Marshal(part)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if err := s.handOverPart(ctx, v, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Service) handOverPart(ctx context.Context, v vm.VM, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := s.config.Controls.Control(v).Handover(ctx, &peerpb.HandoverRequest{
+		Node: s.config.Node, Incarnation: s.config.Incarnation, Part: data,
+	})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if !reply.Accepted {
+		return Error.New("the peer is leaving itself")
+	}
+	return nil
+}
--- /dev/null
+++ b/coltsfootd/operations/http.go
@@ -0,0 +1,120 @@
+package operations
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"coltsfootusher.example/coltsfootd/answer"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/route"
+)
+
+const (
+	pathPrefix     = "/.coltsfoot/operations"
+	routeParameter = "route"
+)
+
+// issued is the reply to a request for an id.
+type issued struct {
+	ID string `json:"id"`
+}
+
+// queried is the reply to a query; the status is that of the target's response if the operation is done.
+type queried struct {
+	ID      string       `json:"id"`
+	Outcome call.Outcome `json:"outcome"`
+	Status  int          `json:"status,omitempty"`
+	Reason  call.Reason  `json:"reason,omitempty"`
+}
+
+// Serve issues ids (POST with the parameter route) and reports outcomes (GET with the id as the last part of the path,
+// and the parameter route for idempotency keys). The account is authenticated.
+func (s *Service) Serve(w http.ResponseWriter, r *http.Request, accountID string) {
+	id := strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
+	switch {
+	case r.Method == http.MethodPost && id == "":
+		s.serveIssue(w, r, accountID)
+	case r.Method == http.MethodGet && id != "":
+		s.serveQuery(w, r, accountID, id)
+	default:
+		answer.Refuse(call.ReasonMalformed).Write(w)
+	}
+}
+
+func (s *Service) serveIssue(w http.ResponseWriter, r *http.Request, accountID string) {
+	found, reason := s.route(r, accountID)
+	if reason != "" {
+		answer.Refuse(reason).Write(w)
+		return
+	}
+	id, reason := s.Issue(r.Context(), accountID, found)
+	if reason != "" {
+		answer.Refuse(reason).Write(w)
+		return
+	}
+	text, err := s.config.Codec.Encode(id)
+	if err != nil {
+		answer.Refuse(call.ReasonInternal).Write(w)
+		return
+	}
+	writeJSON(w, http.StatusCreated, issued{ID: text})
+}
+
+// route returns the once-only route that the request names.
+func (s *Service) route(r *http.Request, accountID string) (route.Route, call.Reason) {
+	prefix := r.URL.Query().Get(routeParameter)
+	found, ok := s.config.Snapshots.Current().Route(prefix)
+	switch {
+	case !ok || found.Prefix != prefix:
+		return route.Route{}, call.ReasonRouteUnknown
+	case !found.Allows(accountID):
+		return route.Route{}, call.ReasonAccountNotAllowed
+	case found.Class != route.OnceOnly:
+		return route.Route{}, call.ReasonMalformed
+	}
+	return found, ""
+}
+
+func (s *Service) serveQuery(w http.ResponseWriter, r *http.Request, accountID, text string) {
+	c := call.Call{Account: accountID, OperationID: text}
+	if id, err := s.config.Codec.Decode(text); err == nil {
+		if id.Account != accountID {
+			answer.Refuse(call.ReasonAccountNotAllowed).Write(w)
+			return
+		}
+		c.Service = id.Service
+	} else {
+		key, reason := s.Identify(http.Header{keyHeader: {text}}, c)
+		if reason != "" {
+			answer.Refuse(reason).Write(w)
+			return
+		}
+		found, reason := s.route(r, accountID)
+		if reason != "" {
+			answer.Refuse(reason).Write(w)
+			return
+		}
+		c.Service, c.OperationID = found.Service, key
+	}
+	state := s.Query(r.Context(), c)
+	w.Header().Set(answer.OutcomeHeader, string(state.Outcome))
+	writeJSON(w, http.StatusOK, queried{ID: text, Outcome: state.Outcome, Status: state.Response.Status, Reason: state.Reason})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		answer.Refuse(call.ReasonInternal).Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// pathOf returns the path of the call without the query.
+func pathOf(c call.Call) string {
+	path, _, _ := strings.Cut(c.Path, "?")
+	return path
+}
--- a/coltsfootd/operations/operations.go
+++ b/coltsfootd/operations/operations.go
@@ -2,55 +2,152 @@
 
 import (
 	"context"
-	"net/http"
+	"sync"
+	"time"
 
-	"coltsfootusher.example/coltsfootd/answer"
-	"coltsfootusher.example/coltsfootd/inflight"
-	"coltsfootusher.example/core/account"
+	"github.com/go-kit/log"
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/core/balance"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/operation"
+	"coltsfootusher.example/core/vm"
+	"coltsfootusher.example/peer/peerpb"
 )
 
-// Service is the node's part in once-only operations; until ids are issued it refuses all of them.
-type Service struct{}
+// Error is the class of errors of this package.
+var Error = errs.Class("operations")
 
-// New returns a service.
-func New() *Service { return &Service{} }
+const (
+	// maxRunTime bounds a started operation. It is well below the default retention of outcomes and below the default
+	// drain timeout, so that a graceful shutdown waits for every operation.
+	maxRunTime = 20 * time.Second
+	// retentionParts keeps the bound of a started operation at a quarter of a shorter retention.
+	retentionParts = 4
+	// answerMargin is the time before the caller's deadline at which the home answers that the operation is running,
+	// so that the answer still reaches the caller.
+	answerMargin = 20 * time.Millisecond
+	// peerTimeout bounds one control call to a peer.
+	peerTimeout = 500 * time.Millisecond
+)
 
-// Run refuses the operation.
-func (*Service) Run(context.Context, call.Call, func(context.Context) answer.Answer) answer.Answer {
-	return answer.Refuse(call.ReasonOperationIDInvalid)
+// Snapshots yields the published values in force.
+type Snapshots interface {
+	Current() *fleet.Snapshot
 }
 
-// Home returns no home.
-func (*Service) Home(call.Call) (string, call.Reason) { return "", call.ReasonOperationIDInvalid }
+// Peers tells which nodes get new work.
+type Peers interface {
+	MayServe(v vm.VM) bool
+}
 
-// Identify returns no id.
-func (*Service) Identify(http.Header, call.Call) (string, call.Reason) {
-	return "", call.ReasonOperationIDRequired
+// Balancer chooses among targets.
+type Balancer interface {
+	Choose(candidates []balance.Candidate, exclude map[string]bool, now clock.Millis) (balance.Choice, bool)
+	Started(node string, now clock.Millis)
+	Finished(node string, report balance.Report, now clock.Millis)
 }
 
-// Seal knows of no operation.
-func (*Service) Seal(context.Context, call.Call) call.Outcome { return call.Unknown }
+// Seats knows the owners of operation seats.
+type Seats interface {
+	// Owner returns the VM that any node asks for the seat of the service; empty if there is none.
+	Owner(service string, seat operation.Seat) string
+	// Owned reports since when this node has owned the seat without interruption, on its monotonic clock.
+	Owned(service string, seat operation.Seat, now clock.Millis) (since clock.Millis, ok bool)
+}
 
-// Serve answers that there are no operations.
-func (*Service) Serve(w http.ResponseWriter, _ *http.Request, _ string) {
-	answer.Refuse(call.ReasonOperationIDInvalid).Write(w)
+// Controls makes control calls to peers.
+type Controls interface {
+	Control(v vm.VM) peerpb.Control
 }
 
-// ChildID returns no id.
-func (*Service) ChildID(*inflight.Parent, call.Call, string) (string, call.Reason) {
-	return "", call.ReasonOperationIDInvalid
+// Config are the dependencies of a Service.
+type Config struct {
+	Node          string
+	FailureDomain string
+	// Service is the service of the local target.
+	Service     string
+	Incarnation uint64
+	Clock       clock.Clock
+	Snapshots   Snapshots
+	Peers       Peers
+	Balancer    Balancer
+	Seats       Seats
+	Controls    Controls
+	Codec       *operation.Codec
+	Table       operation.Config
+	Logger      log.Logger
 }
 
-// NoSuspects lets every request run.
-type NoSuspects struct{}
+// Service is the node's part in once-only operations: the home of those that run at the local target, and the client
+// of the other homes. It is safe for concurrent use.
+type Service struct {
+	config  Config
+	runTime time.Duration
+	running sync.WaitGroup
 
-// Enter lets the request run.
-func (NoSuspects) Enter(context.Context, call.Call) (func(bool), bool) { return func(bool) {}, true }
+	mu         sync.Mutex
+	table      *operation.Table
+	waiting    map[operation.Waiter]chan struct{}
+	nextWaiter operation.Waiter
+	leaving    bool
+}
+
+// New returns a service with an empty table.
+func New(config Config) *Service {
+	return &Service{
+		config: config, runTime: min(maxRunTime, config.Table.RetentionMs.Duration()/retentionParts),
+		table: operation.New(config.Table), waiting: make(map[operation.Waiter]chan struct{}),
+	}
+}
 
-// NoLimit admits every call.
-type NoLimit struct{}
+// Len returns the number of operations on record.
+func (s *Service) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Len()
+}
 
-// Admit admits the call.
-func (NoLimit) Admit(context.Context, account.Account) (bool, clock.Millis) { return true, 0 }
+func (s *Service) now() operation.Now {
+	return operation.Now{MonoMs: s.config.Clock.Now(), WallMs: clock.Millis(time.Now().UnixMilli())}
+}
+
+// local returns the operation as this node's table sees it. The time is read before the ownership, see operation.Now.
+func (s *Service) local(text, account, service string) (operation.Operation, operation.Now, bool) {
+	now := s.now()
+	if id, err := s.config.Codec.Decode(text); err == nil {
+		return operation.Issued(id), now, id.Account == account && id.Service == service
+	}
+	key, err := operation.ParseKey(text)
+	if err != nil {
+		return operation.Operation{}, now, false
+	}
+	var owned operation.Ownership
+	if service == s.config.Service {
+		if seat, err := s.seat(account, service, key); err == nil {
+			owned.SinceMs, owned.OK = s.config.Seats.Owned(service, seat, now.MonoMs)
+		}
+	}
+	return operation.Keyed(account, service, key, owned), now, true
+}
+
+func (s *Service) seat(account, service string, key operation.Key) (operation.Seat, error) {
+	snapshot := s.config.Snapshots.Current()
+	svc, _ := snapshot.Service(service)
+	return operation.SeatOf(account, key, svc.FailureDomains, snapshot.Services.SeatsPerDomain)
+}
+
+// ask bounds a control call to a peer.
+func (s *Service) ask(
+	ctx context.Context, v vm.VM, method func(peerpb.Control, context.Context) (*peerpb.OutcomeReply, error),
+) (operation.State, bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := method(s.config.Controls.Control(v), ctx)
+	if err != nil {
+		return operation.State{Outcome: call.Unknown, Reason: call.ReasonNodeUnreachable}, false
+	}
+	return stateOf(reply), true
+}
--- /dev/null
+++ b/coltsfootd/operations/run.go
@@ -0,0 +1,168 @@
+package operations
+
+import (
+	"context"
+	"io"
+
+	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/coltsfootd/answer"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/operation"
+)
+
+// Run runs the operation unless it was run or sealed before, and answers with its outcome. A started operation goes on
+// when ctx ends, for at most the run time; execute gets a context of its own. A repeat that arrives meanwhile waits
+// for the same outcome until ctx ends.
+func (s *Service) Run(ctx context.Context, c call.Call, execute func(ctx context.Context) answer.Answer) answer.Answer {
+	op, now, ok := s.local(c.OperationID, c.Account, c.Service)
+	if id, err := s.config.Codec.Decode(c.OperationID); err == nil && id.Route != c.Route {
+		ok = false
+	}
+	if !ok {
+		return answerOf(operation.State{Outcome: call.Unknown, Reason: call.ReasonOperationIDInvalid})
+	}
+	ctx, cancel := beforeDeadline(ctx)
+	defer cancel()
+	s.mu.Lock()
+	state := s.table.Begin(op, now)
+	if !state.Start {
+		s.mu.Unlock()
+		return answerOf(s.await(ctx, op, state))
+	}
+	s.running.Add(1)
+	s.mu.Unlock()
+	ended := make(chan answer.Answer, 1)
+	go func() {
+		defer s.running.Done()
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.runTime)
+		defer cancel()
+		ended <- s.finish(op, execute(bounded))
+	}()
+	select {
+	case a := <-ended:
+		return a
+	case <-ctx.Done():
+		return answerOf(operation.State{Outcome: call.Running, Reason: call.ReasonOperationRunning})
+	}
+}
+
+// beforeDeadline returns a context that ends a little before the deadline of ctx.
+func beforeDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-answerMargin))
+}
+
+// await waits until a running operation has ended or ctx ends, and returns the state then.
+func (s *Service) await(ctx context.Context, op operation.Operation, state operation.State) operation.State {
+	if state.Outcome != call.Running {
+		return state
+	}
+	ended := make(chan struct{})
+	s.mu.Lock()
+	s.nextWaiter++
+	waiter := s.nextWaiter
+	waits := s.table.Wait(op.Ref(), waiter)
+	if waits {
+		s.waiting[waiter] = ended
+	}
+	s.mu.Unlock()
+	if waits {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.StopWaiting(op.Ref(), waiter)
+	delete(s.waiting, waiter)
+	return s.table.Outcome(op, s.now())
+}
+
+// finish records how the execution ended and returns the answer for the caller.
+func (s *Service) finish(op operation.Operation, a answer.Answer) answer.Answer {
+	a = s.whole(a)
+	outcome, response := outcomeOf(a), operation.Response{Status: a.Status, Header: a.Header.Clone(), Body: a.Body}
+	if a.Result.Reason == call.ReasonAnswerNotKept {
+		outcome, response = call.Done, operation.Response{Status: a.Status, BodyDropped: true}
+	}
+	a.Result.Outcome = outcome
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiters, err := s.table.Finish(op.Ref(), outcome, response, s.now())
+	if err != nil {
+		_ = level.Error(s.config.Logger).Log("msg", "outcome of an operation not recorded", "err", err)
+		a.Result.Outcome = call.Unknown
+	}
+	for _, w := range waiters {
+		if ended, ok := s.waiting[w]; ok {
+			close(ended)
+			delete(s.waiting, w)
+		}
+	}
+	return a
+}
+
+// outcomeOf is notRun only if no target can have received the operation.
+func outcomeOf(a answer.Answer) call.Outcome {
+	switch {
+	case a.OK():
+		return call.Done
+	case a.Result.Run == call.NotRun:
+		return call.OutcomeNotRun
+	default:
+		return call.Unknown
+	}
+}
+
+// whole reads the rest of a large body, because a repeated request gets the same response. Of a body that is too large
+// to be kept only the status remains.
+func (s *Service) whole(a answer.Answer) answer.Answer {
+	if a.Rest == nil {
+		return a
+	}
+	defer a.Close()
+	limit := max(0, s.config.Table.MaxBodyBytes-len(a.Body))
+	rest, err := io.ReadAll(io.LimitReader(a.Rest, int64(limit)+1))
+	switch {
+	case err != nil:
+		failed := answer.Fail(call.ReasonAnswerTruncated)
+		failed.Result.AllowanceLeft = a.Result.AllowanceLeft
+		return failed
+	case len(rest) > limit:
+		return notKept()
+	}
+	a.Body, a.Rest = append(a.Body, rest...), nil
+	return a
+}
+
+// notKept tells that the operation is done and that its response is not available.
+func notKept() answer.Answer {
+	a := answer.Refuse(call.ReasonAnswerNotKept)
+	a.Result.Run, a.Result.Outcome = call.WasRun, call.Done
+	return a
+}
+
+// answerOf returns the answer that tells a caller the state.
+func answerOf(state operation.State) answer.Answer {
+	if state.Outcome == call.Done {
+		if state.Response.BodyDropped {
+			return notKept()
+		}
+		r := state.Response
+		return answer.Answer{
+			Result: call.Result{Run: call.WasRun, Outcome: call.Done},
+			Status: r.Status, Header: r.Header.Clone(), Body: r.Body,
+		}
+	}
+	a := answer.Fail(state.Reason)
+	if state.Outcome == call.OutcomeNotRun {
+		a.Result.Run = call.NotRun
+	}
+	a.Result.Outcome = state.Outcome
+	return a
+}
--- /dev/null
+++ b/coltsfootd/operations/settle.go
@@ -0,0 +1,192 @@
+package operations
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coltsfootusher.example/coltsfootd/answer"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/operation"
+	"coltsfootusher.example/core/vm"
+	"coltsfootusher.example/peer/peerpb"
+)
+
+const (
+	// heirs is the number of peers to which a leaving home hands its table over.
+	heirs = 2
+	// heirsAsked is the number of ranks that are asked for a home's table, one more than hold it, as a heir may have
+	// been down at the handover.
+	heirsAsked = heirs + 1
+	// sealTimeout bounds a seal and all questions that follow it.
+	sealTimeout = peerTimeout * 3
+)
+
+// Seal makes sure that the operation never starts and returns its outcome, unknown if its home does not answer.
+func (s *Service) Seal(ctx context.Context, c call.Call) call.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	return s.outcome(ctx, c, (*Service).sealLocally, func(p peerpb.Control, ctx context.Context) (*peerpb.OutcomeReply, error) {
+		return p.SealOperation(ctx, request(c))
+	}).Outcome
+}
+
+// Query returns what is known of the operation of the call.
+func (s *Service) Query(ctx context.Context, c call.Call) operation.State {
+	return s.outcome(ctx, c, (*Service).lookUp, func(p peerpb.Control, ctx context.Context) (*peerpb.OutcomeReply, error) {
+		return p.Outcome(ctx, request(c))
+	})
+}
+
+func request(c call.Call) *peerpb.OutcomeRequest {
+	return &peerpb.OutcomeRequest{OperationId: c.OperationID, Account: c.Account, Service: c.Service}
+}
+
+// outcome asks the home, and its heirs if the home does not know.
+func (s *Service) outcome(
+	ctx context.Context, c call.Call, local func(*Service, *peerpb.OutcomeRequest) operation.State,
+	remote func(peerpb.Control, context.Context) (*peerpb.OutcomeReply, error),
+) operation.State {
+	state := operation.State{Outcome: call.Unknown, Reason: call.ReasonOperationUnknown}
+	if !s.belongs(c) {
+		return state
+	}
+	home, reason := s.Home(c)
+	if reason != "" {
+		return state
+	}
+	if home == s.config.Node {
+		state = local(s, request(c))
+	} else if v, ok := s.config.Snapshots.Current().VM(home); ok {
+		state, _ = s.ask(ctx, v, remote)
+	}
+	if state.Outcome != call.Unknown {
+		return state
+	}
+	if inherited, ok := s.askHeirs(ctx, home, c); ok {
+		return inherited
+	}
+	return state
+}
+
+// belongs reports whether the id belongs to the account and the service of the call.
+func (s *Service) belongs(c call.Call) bool {
+	id, err := s.config.Codec.Decode(c.OperationID)
+	return err != nil || id.Account == c.Account && id.Service == c.Service
+}
+
+func (s *Service) sealLocally(r *peerpb.OutcomeRequest) operation.State {
+	return s.inTable(r, (*operation.Table).Seal)
+}
+
+func (s *Service) lookUp(r *peerpb.OutcomeRequest) operation.State {
+	return s.inTable(r, (*operation.Table).Outcome)
+}
+
+func (s *Service) inTable(
+	r *peerpb.OutcomeRequest, method func(*operation.Table, operation.Operation, operation.Now) operation.State,
+) operation.State {
+	op, now, ok := s.local(r.OperationId, r.Account, r.Service)
+	if !ok {
+		return operation.State{Outcome: call.Unknown, Reason: call.ReasonOperationIDInvalid}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return method(s.table, op, now)
+}
+
+// Settle replaces an answer with the outcome unknown by what the heirs of the operation's home know. An answer of the
+// incarnation that is the home stays: only that process can have run the operation.
+func (s *Service) Settle(ctx context.Context, c call.Call, a answer.Answer) answer.Answer {
+	if a.Result.Outcome != call.Unknown || ctx.Err() != nil {
+		return a
+	}
+	home, reason := s.Home(c)
+	if reason != "" {
+		return a
+	}
+	if id, err := s.config.Codec.Decode(c.OperationID); err == nil && a.Result.Incarnation == id.Incarnation {
+		return a
+	}
+	state, ok := s.askHeirs(ctx, home, c)
+	if !ok {
+		return a
+	}
+	return answerOf(state)
+}
+
+// askHeirs returns the first final outcome that a heir of the home has on record.
+func (s *Service) askHeirs(ctx context.Context, home string, c call.Call) (operation.State, bool) {
+	for _, v := range s.possibleHeirs(home, c.Service) {
+		if ctx.Err() != nil {
+			break
+		}
+		var state operation.State
+		if v.Name == s.config.Node {
+			state = s.lookUp(request(c))
+		} else {
+			state, _ = s.ask(ctx, v, func(p peerpb.Control, ctx context.Context) (*peerpb.OutcomeReply, error) {
+				return p.Outcome(ctx, request(c))
+			})
+		}
+		if state.Outcome == call.Done || state.Outcome == call.OutcomeNotRun {
+			return state, true
+		}
+	}
+	return operation.State{}, false
+}
+
+// possibleHeirs are the first ranks for the home and, because a heir may have left since, the heirs of these. If the
+// home is no longer in the VM list, its failure domain is one of those of its service.
+func (s *Service) possibleHeirs(home, service string) []vm.VM {
+	var found []vm.VM
+	for _, domain := range s.domainsOf(home, service) {
+		ranked := s.rank(home, domain)
+		first := ranked[:min(heirsAsked, len(ranked))]
+		found = append(found, first...)
+		for _, heir := range first[:min(heirs, len(first))] {
+			second := s.rank(heir.Name, domain)
+			found = append(found, second[:min(heirs, len(second))]...)
+		}
+	}
+	var distinct []vm.VM
+	for _, v := range found {
+		same := func(other vm.VM) bool { return other.Name == v.Name }
+		if v.Name != home && !slices.ContainsFunc(distinct, same) {
+			distinct = append(distinct, v)
+		}
+	}
+	return distinct
+}
+
+func (s *Service) domainsOf(home, service string) []string {
+	snapshot := s.config.Snapshots.Current()
+	if v, ok := snapshot.VM(home); ok {
+		return []string{v.FailureDomain}
+	}
+	svc, _ := snapshot.Service(service)
+	return svc.FailureDomains
+}
+
+// rank orders the other VMs of the domain by rendezvous hashing of the home's name.
+func (s *Service) rank(home, domain string) []vm.VM {
+	var others []vm.VM
+	for _, v := range s.config.Snapshots.Current().VMsOfDomain(domain) {
+		if v.Name != home {
+			others = append(others, v)
+		}
+	}
+	slices.SortFunc(others, func(a, b vm.VM) int {
+		left, right := xxhash.Sum64String(home+"/"+a.Name), xxhash.Sum64String(home+"/"+b.Name)
+		switch {
+		case left > right:
+			return -1
+		case left < right:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return others
+}
--- a/coltsfootd/passage/passage.go
+++ b/coltsfootd/passage/passage.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"syscall"
 	"time"
 
 	"coltsfootusher.example/coltsfootd/answer"
 	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/transport"
 	"coltsfootusher.example/core/balance"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
@@ -33,6 +32,8 @@
 type Homes interface {
 	// Home returns the name of the node; reason is set when there is none.
 	Home(c call.Call) (node string, reason call.Reason)
+	// Settle replaces an unknown outcome if another node knows what became of an operation whose home has gone.
+	Settle(ctx context.Context, c call.Call, a answer.Answer) answer.Answer
 }
 
 // Local serves calls whose target is the node's own.
@@ -101,19 +102,26 @@
 func (s *Sender) sendToHome(ctx context.Context, r Request) answer.Answer {
 	home, reason := s.Homes.Home(r.Call)
 	if reason != "" {
-		return answer.Refuse(reason)
+		return unknown(answer.Fail(reason))
 	}
 	v, ok := s.Snapshots.Current().VM(home)
 	if !ok {
-		a := answer.Fail(call.ReasonNodeUnreachable)
-		a.Result.Outcome = call.Unknown
-		return a
+		return s.Homes.Settle(ctx, r.Call, unknown(answer.Fail(call.ReasonNodeUnreachable)))
 	}
 	s.record(r.Call, "once-only call sent to its home", balance.Choice{Node: home}, "")
 	a := s.attempt(ctx, v, r)
-	if !a.OK() && a.Result.Outcome == "" {
-		// Only the home may say that the operation was not run, and it has not answered.
-		a.Result.Outcome = call.Unknown
+	if a.Result.Outcome == "" {
+		a = unknown(a)
+	}
+	return s.Homes.Settle(ctx, r.Call, a)
+}
+
+// unknown marks an answer that does not come from the home's table. Only the home may say that an operation was not
+// run: even if this message was not sent, an earlier one with the same id may have been.
+func unknown(a answer.Answer) answer.Answer {
+	a.Result.Outcome = call.Unknown
+	if a.Result.Run == call.NotRun {
+		a.Result.Run = call.MaybeRun
 	}
 	return a
 }
@@ -262,7 +270,8 @@
 	})
 }
 
-// neverSent reports whether err proves that nothing of the request was sent.
+// neverSent reports whether err proves that nothing of the request was sent. Only an error of the dial does: an
+// established connection can also fail with EHOSTUNREACH, after the request was sent.
 func neverSent(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+	return transport.DialFailed(err)
 }
--- /dev/null
+++ b/coltsfootd/peerclient/doc.go
@@ -0,0 +1,2 @@
+// Package peerclient makes signed control calls to the nodes of other VMs.
+package peerclient
--- a/coltsfootd/transport/transport.go
+++ b/coltsfootd/transport/transport.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -62,6 +63,12 @@
 	}
 }
 
+// DialFailed reports whether err is the failure to open a connection, so that nothing of the request was sent.
+func DialFailed(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // Remaining returns the time until the deadline of ctx, or fallback if it has none.
 func Remaining(ctx context.Context, fallback clock.Millis) clock.Millis {
 	deadline, ok := ctx.Deadline()
--- a/core/call/reason.go
+++ b/core/call/reason.go
@@ -41,6 +41,8 @@
 	ReasonOperationSealed     Reason = "operationSealed"
 	ReasonOperationTableFull  Reason = "operationTableFull"
 	ReasonOnceOnlyInLookup    Reason = "onceOnlyInLookup"
+	ReasonAnswerNotKept       Reason = "answerNotKept"
+	ReasonSuspectElsewhere    Reason = "suspectElsewhere"
 	ReasonCallerGone          Reason = "callerGone"
 	ReasonInternal            Reason = "internalError"
 )
@@ -83,6 +85,8 @@
 	ReasonOperationSealed:     http.StatusConflict,
 	ReasonOperationTableFull:  http.StatusServiceUnavailable,
 	ReasonOnceOnlyInLookup:    http.StatusForbidden,
+	ReasonAnswerNotKept:       http.StatusGone,
+	ReasonSuspectElsewhere:    http.StatusServiceUnavailable,
 	ReasonCallerGone:          StatusCallerGone,
 	ReasonInternal:            http.StatusInternalServerError,
 }
@@ -108,7 +112,7 @@
 func (r Reason) Retryable() bool {
 	switch r {
 	case ReasonOverloaded, ReasonQueueTimeout, ReasonLeaving, ReasonTargetDown, ReasonTargetFailed,
-		ReasonNodeUnreachable, ReasonAnswerMismatch, ReasonAnswerTruncated, ReasonNotReady:
+		ReasonNodeUnreachable, ReasonAnswerMismatch, ReasonAnswerTruncated, ReasonNotReady, ReasonSuspectElsewhere:
 		return true
 	default:
 		return false
