Keep requests that crash targets from spreading

Cause: the gate let every request run, and a target's death was not noticed. Change: coltsfootd/suspect puts core/poison into the gate. After a broken connection the node probes its target: a refused connection is a death, unless the stop is planned, and each request in flight becomes a suspect. While the target is dead, its gate refuses without a dial.

--- a/coltsfootd/gateway/gateway.go
+++ b/coltsfootd/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/fleet"
 	"coltsfootusher.example/core/gate"
+	"coltsfootusher.example/core/poison"
 	"coltsfootusher.example/core/preset"
 	"coltsfootusher.example/core/retry"
 	"coltsfootusher.example/core/route"
@@ -39,8 +40,11 @@
 
 // Suspects recognises requests that crash targets.
 type Suspects interface {
-	// Enter reports whether the request may run; done must be called with whether the target died.
-	Enter(ctx context.Context, c call.Call) (done func(died bool), ok bool)
+	// Enter waits until the request may run; the reason says why it may not. After success Leave must be called.
+	Enter(ctx context.Context, c call.Call) (poison.Ticket, call.Reason)
+	Leave(ticket poison.Ticket, end poison.End)
+	// Crashes returns the crashes that are known of the request.
+	Crashes(fingerprint uint64) []poison.Crash
 }
 
 // Config are the dependencies of a Gateway.
@@ -76,6 +80,7 @@
 	a.Result.Node = g.Node
 	a.Result.Incarnation = g.Incarnation
 	a.Result.Load = g.Admission.Load()
+	a.Result.Crashes = g.Suspects.Crashes(c.Fingerprint)
 	if !a.OK() {
 		g.record(c, "call refused by gate", a.Result.Reason, received)
 	}
@@ -109,12 +114,12 @@
 func (g *Gateway) admit(ctx context.Context, c call.Call, header http.Header, body []byte, deadline clock.Millis) answer.Answer {
 	waiting, cancel := context.WithTimeout(ctx, max(0, deadline-g.Clock.Now()).Duration())
 	defer cancel()
-	leave, ok := g.Suspects.Enter(waiting, c)
-	if !ok {
-		return refuse(c, call.ReasonPoison)
+	ticket, reason := g.Suspects.Enter(waiting, c)
+	if reason != "" {
+		return refuse(c, reason)
 	}
-	died := false
-	defer func() { leave(died) }()
+	end := poison.Cancelled
+	defer func() { g.Suspects.Leave(ticket, end) }()
 
 	entered := g.Clock.Now()
 	d := g.Admission.Enter(waiting, g.request(c, entered, deadline))
@@ -133,8 +138,8 @@
 	} else {
 		ctx = waiting
 	}
-	a, targetDied := g.run(ctx, d.ID, c, header, body, deadline)
-	died = targetDied
+	a := g.run(ctx, d.ID, c, header, body, deadline)
+	end = endOf(a)
 	return a
 }
 
@@ -150,27 +155,38 @@
 
 func (g *Gateway) run(
 	ctx context.Context, id uint64, c call.Call, header http.Header, body []byte, deadline clock.Millis,
-) (answer.Answer, bool) {
+) answer.Answer {
 	done := make(chan struct{})
 	defer close(done)
 	parent := &inflight.Parent{Call: c, Deadline: deadline, Allowance: retry.NewAllowance(c.Allowance), Done: done}
 	handle, err := g.InFlight.Add(parent)
 	if err != nil {
 		g.Admission.Leave(id, gate.Sample{Cancelled: true})
-		return refuse(c, call.ReasonInternal), false
+		return refuse(c, call.ReasonInternal)
 	}
 	defer g.InFlight.Remove(handle)
 
 	start := time.Now()
 	a := g.Target.Do(ctx, c, handle, header, body, deadline-g.Clock.Now())
-	died := a.Result.Reason == call.ReasonTargetFailed
 	g.Admission.Leave(id, gate.Sample{
 		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
 		Failed:    !a.OK() || a.Status >= http.StatusInternalServerError,
 		Cancelled: a.Result.Reason == call.ReasonCallerGone,
 	})
 	a.Result.AllowanceLeft = parent.Allowance.TakeAll()
-	return a, died
+	return a
+}
+
+// endOf says what the answer tells about the target's health.
+func endOf(a answer.Answer) poison.End {
+	switch {
+	case a.OK():
+		return poison.Completed
+	case a.Result.Reason == call.ReasonTargetFailed || a.Result.Reason == call.ReasonAnswerTruncated:
+		return poison.Failed
+	default:
+		return poison.Cancelled
+	}
 }
 
 func (g *Gateway) record(c call.Call, action string, reason call.Reason, since clock.Millis) {
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -26,9 +26,11 @@
 	"coltsfootusher.example/coltsfootd/operations"
 	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/coltsfootd/passage"
+	"coltsfootusher.example/coltsfootd/peerclient"
 	"coltsfootusher.example/coltsfootd/peerserver"
 	"coltsfootusher.example/coltsfootd/platform"
 	"coltsfootusher.example/coltsfootd/setting"
+	"coltsfootusher.example/coltsfootd/suspect"
 	"coltsfootusher.example/coltsfootd/transport"
 	"coltsfootusher.example/core/balance"
 	"coltsfootusher.example/core/clock"
@@ -36,7 +38,6 @@
 	"coltsfootusher.example/core/preset"
 	"coltsfootusher.example/core/retry"
 	"coltsfootusher.example/peer/auth"
-	"coltsfootusher.example/peer/peerpb"
 )
 
 // Error is the class of errors that end a node.
@@ -71,6 +72,8 @@
 
 	operations *operations.Service
 	seats      *operations.ListSeats
+	peers      *peerclient.Client
+	suspects   *suspect.Guard
 
 	servers []*server
 }
@@ -106,6 +109,7 @@
 	if err := n.buildOperations(secret, signer); err != nil {
 		return nil, err
 	}
+	n.buildSuspects()
 	n.buildTraffic(signer, metrics)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
@@ -120,14 +124,14 @@
 	ops := n.operations
 	g := gateway.New(gateway.Config{
 		Node: s.NodeName, Incarnation: n.incarnation, Service: s.Service, Clock: n.clock, Snapshots: n.control,
-		Holder: n.control, OnceOnly: ops, Suspects: operations.NoSuspects{}, Admission: n.admission,
+		Holder: n.control, OnceOnly: ops, Suspects: n.suspects, Admission: n.admission,
 		Target:   gateway.NewTarget(s.TargetAddress, s.TargetConnections, s.BufferedAnswerBytes),
 		InFlight: n.inFlight, Recorder: n.recorder,
 	})
 	n.budget = retry.New(0, minRetriesPerSec)
 	sender := passage.New(passage.Config{
 		Node: s.NodeName, FailureDomain: s.FailureDomain, Clock: n.clock, Snapshots: n.control, Peers: n.control,
-		Homes: ops, Local: g,
+		Homes: ops, Local: g, Suspects: n.suspects,
 		Client:   passage.NewClient(signer, transport.New(s.SourceAddress(), 0, peerIdleConns), s.BufferedAnswerBytes),
 		Balancer: n.balancer, Budget: n.budget, Recorder: n.recorder,
 	})
@@ -138,7 +142,7 @@
 	n.servers = []*server{
 		{name: "entry", http: newServer(n.entry, s.MaxHeaderBytes)},
 		{name: "peer", http: newServer(peerserver.New(peerserver.Config{
-			Signer: signer, Gateway: g, Control: peerpb.NewControlServer(controlServer{operations: ops}), MaxBody: maxPeerMessageSize,
+			Signer: signer, Gateway: g, Control: n.controlHandler(), MaxBody: maxPeerMessageSize,
 			Logger: logging.Part(n.logger, "peer"), Metrics: metrics,
 		}), s.MaxHeaderBytes)},
 		{name: "egress", http: newServer(egress.New(egress.Config{
@@ -185,6 +189,7 @@
 	defer cancel()
 	go n.control.Run(background)
 	go n.admission.Run(background)
+	go n.suspects.Run(background)
 	go n.configure(background)
 	failed := make(chan error, len(n.servers))
 	line := "listening"
--- a/coltsfootd/node/operations.go
+++ b/coltsfootd/node/operations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/go-kit/log/level"
 	"github.com/twitchtv/twirp"
@@ -9,6 +10,7 @@
 	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/coltsfootd/operations"
 	"coltsfootusher.example/coltsfootd/peerclient"
+	"coltsfootusher.example/coltsfootd/suspect"
 	"coltsfootusher.example/coltsfootd/transport"
 	"coltsfootusher.example/core/operation"
 	"coltsfootusher.example/peer/auth"
@@ -25,11 +27,12 @@
 	if err != nil {
 		return err
 	}
+	n.peers = peerclient.New(signer, transport.New(s.SourceAddress(), 0, peerIdleConns))
 	n.seats = operations.NewListSeats(s.NodeName, s.SeatFenceMs, n.control)
 	n.operations = operations.New(operations.Config{
 		Node: s.NodeName, FailureDomain: s.FailureDomain, Service: s.Service, Incarnation: n.incarnation, Clock: n.clock,
 		Snapshots: n.control, Peers: n.control, Balancer: n.balancer, Seats: n.seats,
-		Controls: peerclient.New(signer, transport.New(s.SourceAddress(), 0, peerIdleConns)), Codec: codec,
+		Controls: n.peers, Codec: codec,
 		Table: operation.Config{
 			Node: s.NodeName, Incarnation: n.incarnation, RetentionMs: s.OperationRetentionMs,
 			MaxClockSkewMs: s.MaxClockSkewMs, MaxEntries: s.OperationMaxEntries,
@@ -56,6 +59,11 @@
 type controlServer struct {
 	unserved
 	operations *operations.Service
+	suspects   *suspect.Guard
+}
+
+func (n *Node) controlHandler() http.Handler {
+	return peerpb.NewControlServer(controlServer{operations: n.operations, suspects: n.suspects})
 }
 
 // IssueOperation issues an id.
@@ -85,11 +93,6 @@
 
 var errUnserved = twirp.NewError(twirp.Unimplemented, "this node does not serve the call")
 
-// Sync is not served.
-func (unserved) Sync(context.Context, *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
-	return nil, errUnserved
-}
-
 // Draw is not served.
 func (unserved) Draw(context.Context, *peerpb.DrawRequest) (*peerpb.DrawReply, error) {
 	return nil, errUnserved
--- /dev/null
+++ b/coltsfootd/node/suspects.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"coltsfootusher.example/coltsfootd/logging"
+	"coltsfootusher.example/coltsfootd/suspect"
+	"coltsfootusher.example/core/poison"
+	"coltsfootusher.example/core/vm"
+	"coltsfootusher.example/peer/envelope"
+	"coltsfootusher.example/peer/peerpb"
+)
+
+const (
+	spreadTimeout = 500 * time.Millisecond
+	// maxSpreadPeers bounds the messages after one crash; other nodes learn of it through Sync or from a gate's answer.
+	maxSpreadPeers = 64
+)
+
+// buildSuspects makes the guard against requests that crash targets.
+func (n *Node) buildSuspects() {
+	s := n.settings
+	n.suspects = suspect.New(suspect.Config{
+		Node: s.NodeName, FailureDomain: s.FailureDomain, Service: s.Service, Target: s.TargetAddress, Snapshots: n.control,
+		Peers: n.control, Planned: n.leaving.Load, Spread: n.spreadNotices, Logger: logging.Part(n.logger, "suspect"),
+	})
+}
+
+// spreadNotices tells the gates of the same service at once, because only they can let the request crash another target.
+func (n *Node) spreadNotices(notices []poison.Notice) {
+	sent := 0
+	for _, v := range n.control.Current().VMsOfService(n.settings.Service) {
+		if v.Name == n.settings.NodeName || sent == maxSpreadPeers {
+			continue
+		}
+		sent++
+		go n.sendNotices(v, notices)
+	}
+}
+
+func (n *Node) sendNotices(v vm.VM, notices []poison.Notice) {
+	ctx, cancel := context.WithTimeout(context.Background(), spreadTimeout)
+	defer cancel()
+	// A peer that does not answer learns of the crash later, from a sender or through Sync.
+	_, _ = n.peers.Control(v).Sync(ctx, &peerpb.SyncRequest{
+		Node: n.settings.NodeName, Incarnation: n.incarnation, Notices: encodeNotices(notices),
+	})
+}
+
+func encodeNotices(notices []poison.Notice) []*peerpb.Notice {
+	var messages []*peerpb.Notice
+	for _, notice := range notices {
+		messages = append(messages, &peerpb.Notice{
+			Fingerprint: notice.Fingerprint, Crashes: int32(len(notice.Crashes)), Evidence: envelope.EncodeCrashes(notice.Crashes),
+		})
+	}
+	return messages
+}
+
+// decodeNotices returns the notices about requests among the messages.
+func decodeNotices(messages []*peerpb.Notice) []poison.Notice {
+	var notices []poison.Notice
+	for _, m := range messages {
+		if len(m.Evidence) > 0 {
+			notices = append(notices, poison.Notice{Fingerprint: m.Fingerprint, Crashes: envelope.DecodeCrashes(m.Evidence)})
+		}
+	}
+	return notices
+}
+
+// Sync takes notices about requests; versions are exchanged by the control loop.
+func (c controlServer) Sync(_ context.Context, r *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	c.suspects.Merge(decodeNotices(r.Notices))
+	return &peerpb.SyncReply{}, nil
+}
--- a/coltsfootd/passage/passage.go
+++ b/coltsfootd/passage/passage.go
@@ -12,6 +12,7 @@
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/poison"
 	"coltsfootusher.example/core/preset"
 	"coltsfootusher.example/core/retry"
 	"coltsfootusher.example/core/route"
@@ -41,6 +42,15 @@
 	Serve(ctx context.Context, c call.Call, header http.Header, body []byte) answer.Answer
 }
 
+// Suspects knows the requests that crash targets.
+type Suspects interface {
+	Standing(fingerprint uint64) poison.Standing
+	Crashes(fingerprint uint64) []poison.Crash
+	Learn(fingerprint uint64, crashes []poison.Crash)
+	// Runner returns the node whose target runs the suspects of the service.
+	Runner(service string, exclude map[string]bool) (vm.VM, bool)
+}
+
 // Config are the dependencies of a Sender.
 type Config struct {
 	Node          string
@@ -50,6 +60,7 @@
 	Peers         Peers
 	Homes         Homes
 	Local         Local
+	Suspects      Suspects
 	Client        *Client
 	Balancer      Balancer
 	Budget        Budget
@@ -135,7 +146,11 @@
 	var exclude map[string]bool
 	last := answer.Refuse(call.ReasonNoTarget)
 	for {
-		v, choice, ok := s.choose(r.Call.Service, exclude)
+		standing := s.Suspects.Standing(r.Call.Fingerprint)
+		if standing == poison.Condemned {
+			return s.poisoned(r.Call, last)
+		}
+		v, choice, ok := s.choose(r.Call.Service, standing, exclude)
 		if !ok {
 			return last
 		}
@@ -173,7 +188,24 @@
 	return r.Allowance.Spend() && s.Budget.TryRetry(s.Clock.Now())
 }
 
-func (s *Sender) choose(service string, exclude map[string]bool) (vm.VM, balance.Choice, bool) {
+// poisoned refuses a request that has crashed targets; last is the answer to the attempt before, if there was one.
+func (s *Sender) poisoned(c call.Call, last answer.Answer) answer.Answer {
+	a := giveBack(answer.Refuse(call.ReasonPoison), c)
+	if last.Result.Run != call.NotRun {
+		a.Result.Run = call.MaybeRun
+	}
+	s.record(c, "request refused after crashes", balance.Choice{}, call.ReasonPoison)
+	return a
+}
+
+// choose lets the balancer choose a target; suspects go to the runner of their service.
+func (s *Sender) choose(
+	service string, standing poison.Standing, exclude map[string]bool,
+) (vm.VM, balance.Choice, bool) {
+	if standing == poison.Suspect {
+		v, ok := s.Suspects.Runner(service, exclude)
+		return v, balance.Choice{Node: v.Name, LoadAgeMs: -1}, ok
+	}
 	snapshot := s.Snapshots.Current()
 	svc, _ := snapshot.Service(service)
 	vms := snapshot.VMsOfService(service)
@@ -214,9 +246,11 @@
 	if s.Snapshots.Current().Presets.InForce().Policy == preset.On {
 		c.Allowance = takeAllowance(r)
 	}
+	c.Crashes = s.Suspects.Crashes(c.Fingerprint)
 	s.Balancer.Started(v.Name, now)
 	start := time.Now()
 	a := s.deliver(ctx, v, c, r)
+	s.Suspects.Learn(c.Fingerprint, a.Result.Crashes)
 	r.Allowance.Give(min(a.Result.AllowanceLeft, c.Allowance))
 	report := balance.Report{
 		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
--- /dev/null
+++ b/coltsfootd/suspect/suspect.go
@@ -0,0 +1,299 @@
+package suspect
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/poison"
+	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/vm"
+)
+
+const (
+	// ttl is the time for which a crash counts; it covers the patience of callers that send a request again.
+	ttl = 5 * time.Minute
+	// linger covers the time from the first broken connection to the last probe.
+	linger      = 500 * time.Millisecond
+	maxSuspects = 4096
+	// maxWaiting bounds the suspects that wait for their turn; each holds its body in memory.
+	maxWaiting = 256
+	// probeEvery is the time between probes of a dead target.
+	probeEvery   = 20 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
+	// maxSpread bounds the notices in one message to a peer.
+	maxSpread = 256
+)
+
+// laterProbes are the times after a broken connection at which a target that still accepted a connection is probed
+// again: a dying process may have a listener for a moment longer.
+var laterProbes = []time.Duration{20 * time.Millisecond, 100 * time.Millisecond}
+
+// Snapshots yields the published values in force.
+type Snapshots interface {
+	Current() *fleet.Snapshot
+}
+
+// Peers tells which nodes get new work.
+type Peers interface {
+	MayServe(v vm.VM) bool
+}
+
+// Config are the dependencies of a Guard.
+type Config struct {
+	Node          string
+	FailureDomain string
+	// Service is the service of the local target.
+	Service   string
+	Target    string
+	Snapshots Snapshots
+	Peers     Peers
+	// Planned reports whether the target is being stopped on purpose, so that its end is no crash.
+	Planned func() bool
+	// Spread sends notices to peers and does not block.
+	Spread func(notices []poison.Notice)
+	Logger log.Logger
+}
+
+// Guard is the node's knowledge of requests that crash targets. It is safe for concurrent use.
+type Guard struct {
+	config  Config
+	probing sync.Mutex
+
+	mu       sync.Mutex
+	guard    *poison.Guard
+	dead     bool
+	waiting  int
+	released chan struct{}
+	spread   uint64
+}
+
+// New returns a guard that knows of no suspects.
+func New(config Config) *Guard {
+	return &Guard{
+		config: config, released: make(chan struct{}),
+		guard: poison.New(poison.Config{
+			TTLMs: clock.FromDuration(ttl), LingerMs: clock.FromDuration(linger), MaxSuspects: maxSuspects,
+		}),
+	}
+}
+
+func now() clock.Millis {
+	return clock.Millis(time.Now().UnixMilli())
+}
+
+// Enter lets a request go on to the target, a suspect after the suspects before it; the reason says why not. After
+// success the caller must call Leave.
+func (g *Guard) Enter(ctx context.Context, c call.Call) (poison.Ticket, call.Reason) {
+	here := c.Class == route.OnceOnly
+	if !here {
+		runner, ok := g.runnerIn(g.config.FailureDomain, g.config.Service, nil)
+		here = ok && runner.Name == g.config.Node
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.learn(c.Fingerprint, c.Crashes)
+	for {
+		if g.dead {
+			return 0, call.ReasonTargetDown
+		}
+		decision, ticket := g.guard.Admit(c.Fingerprint, here, now())
+		switch decision {
+		case poison.Refuse:
+			return 0, call.ReasonPoison
+		case poison.Elsewhere:
+			return 0, call.ReasonSuspectElsewhere
+		case poison.Run, poison.RunAlone:
+			return ticket, ""
+		}
+		if reason := g.wait(ctx); reason != "" {
+			return 0, reason
+		}
+	}
+}
+
+// wait releases the lock until a suspect has ended.
+func (g *Guard) wait(ctx context.Context) call.Reason {
+	if g.waiting >= maxWaiting {
+		return call.ReasonOverloaded
+	}
+	g.waiting++
+	released := g.released
+	g.mu.Unlock()
+	// The timer covers the end of the linger of a suspect that failed.
+	timer := time.NewTimer(linger)
+	defer timer.Stop()
+	select {
+	case <-released:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	g.waiting--
+	if ctx.Err() != nil {
+		return call.ReasonQueueTimeout
+	}
+	return ""
+}
+
+// Leave reports the end of a request. After a broken connection it finds out whether the target has died before it
+// returns, so that the answer can tell.
+func (g *Guard) Leave(ticket poison.Ticket, end poison.End) {
+	g.mu.Lock()
+	g.guard.End(ticket, end, now())
+	close(g.released)
+	g.released = make(chan struct{})
+	dead := g.dead
+	g.mu.Unlock()
+	if end != poison.Failed || dead || g.probe() {
+		return
+	}
+	for _, after := range laterProbes {
+		time.AfterFunc(after, func() { g.probe() })
+	}
+}
+
+// Run watches a dead target until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if g.Dead() {
+				g.probe()
+			}
+		}
+	}
+}
+
+// Dead reports whether the target has died and accepts no connections yet.
+func (g *Guard) Dead() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dead
+}
+
+// probe opens a connection to the target and reports whether it is dead.
+func (g *Guard) probe() bool {
+	g.probing.Lock()
+	defer g.probing.Unlock()
+	dialer := net.Dialer{Timeout: probeTimeout}
+	connection, err := dialer.DialContext(context.Background(), "tcp", g.config.Target)
+	if err == nil {
+		_ = connection.Close()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case err == nil:
+		g.dead = false
+	case errors.Is(err, syscall.ECONNREFUSED) && !g.dead:
+		g.died()
+	}
+	return g.dead
+}
+
+func (g *Guard) died() {
+	g.dead = true
+	if g.config.Planned() {
+		return
+	}
+	g.guard.TargetDied(rand.Uint64(), now())
+	notices, revision := g.guard.Notices(g.spread, maxSpread, now())
+	g.spread = revision
+	_ = level.Warn(g.config.Logger).Log("msg", "target died with requests in flight", "suspects", len(notices))
+	if len(notices) > 0 {
+		g.config.Spread(notices)
+	}
+}
+
+// Standing returns what is known of the fingerprint.
+func (g *Guard) Standing(fingerprint uint64) poison.Standing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.Standing(fingerprint, now())
+}
+
+// Crashes returns the crashes on record for the fingerprint.
+func (g *Guard) Crashes(fingerprint uint64) []poison.Crash {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.Crashes(fingerprint)
+}
+
+// Learn takes crashes that another node knows of.
+func (g *Guard) Learn(fingerprint uint64, crashes []poison.Crash) {
+	if len(crashes) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.learn(fingerprint, crashes)
+}
+
+func (g *Guard) learn(fingerprint uint64, crashes []poison.Crash) {
+	if len(crashes) > 0 {
+		g.guard.Merge([]poison.Notice{{Fingerprint: fingerprint, Crashes: crashes}}, now())
+	}
+}
+
+// Merge takes notices from a peer.
+func (g *Guard) Merge(notices []poison.Notice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guard.Merge(notices, now())
+}
+
+// Notices returns up to limit notices that changed after the revision, and the revision to ask for next.
+func (g *Guard) Notices(after uint64, limit int) ([]poison.Notice, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.Notices(after, limit, now())
+}
+
+// Runner returns the node whose target runs the suspects of the service: in this node's failure domain if it has a
+// target of the service, otherwise in the first other domain that has one.
+func (g *Guard) Runner(service string, exclude map[string]bool) (vm.VM, bool) {
+	if v, ok := g.runnerIn(g.config.FailureDomain, service, exclude); ok {
+		return v, true
+	}
+	for _, domain := range g.config.Snapshots.Current().Services.FailureDomains {
+		if v, ok := g.runnerIn(domain, service, exclude); ok {
+			return v, true
+		}
+	}
+	return vm.VM{}, false
+}
+
+// runnerIn returns the domain's runner, or nothing if that is excluded.
+func (g *Guard) runnerIn(domain, service string, exclude map[string]bool) (vm.VM, bool) {
+	snapshot := g.config.Snapshots.Current()
+	var names []string
+	for _, v := range snapshot.VMsOfService(service) {
+		if v.FailureDomain == domain && g.config.Peers.MayServe(v) {
+			names = append(names, v.Name)
+		}
+	}
+	if len(names) == 0 {
+		return vm.VM{}, false
+	}
+	name := poison.Runner(service, slices.Clip(names))
+	if exclude[name] {
+		return vm.VM{}, false
+	}
+	return snapshot.VM(name)
+}
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/poison"
 	"coltsfootusher.example/core/route"
 )
 
@@ -30,6 +31,8 @@
 	OperationID string
 	// Fingerprint identifies requests with the same content, to recognise requests that crash targets.
 	Fingerprint uint64
+	// Crashes are those that the sender knows of a suspect request.
+	Crashes []poison.Crash
 }
 
 // Result is what a gate reports next to the target's response.
@@ -49,6 +52,8 @@
 	// Node and Incarnation identify the answering process.
 	Node        string
 	Incarnation uint64
+	// Crashes are those that the gate knows of a suspect request.
+	Crashes []poison.Crash
 }
 
 // Load is a gate's report of its own state.
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -208,6 +208,15 @@
 	return notices, after
 }
 
+// Crashes returns the crashes on record for the fingerprint, cleared ones included.
+func (g *Guard) Crashes(fingerprint uint64) []Crash {
+	s, ok := g.suspects[fingerprint]
+	if !ok {
+		return nil
+	}
+	return slices.Clone(s.crashes)
+}
+
 // Len returns the number of fingerprints on record, including cleared ones.
 func (g *Guard) Len() int {
 	return len(g.suspects)
--- a/peer/envelope/envelope.go
+++ b/peer/envelope/envelope.go
@@ -8,6 +8,7 @@
 
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/poison"
 	"coltsfootusher.example/core/route"
 	"coltsfootusher.example/peer/peerpb"
 )
@@ -24,6 +25,7 @@
 		RequestId: c.RequestID, Account: c.Account, Service: c.Service, Route: c.Route, Class: string(c.Class),
 		Method: c.Method, Path: c.Path, Depth: int32(c.Depth), TimeoutMs: int64(c.TimeoutMs),
 		Allowance: int32(c.Allowance), Attempt: int32(c.Attempt), OperationId: c.OperationID, Fingerprint: c.Fingerprint,
+		Crashes: EncodeCrashes(c.Crashes),
 	})
 }
 
@@ -37,6 +39,7 @@
 		RequestID: m.RequestId, Account: m.Account, Service: m.Service, Route: m.Route, Class: route.Class(m.Class),
 		Method: m.Method, Path: m.Path, Depth: int(m.Depth), TimeoutMs: clock.Millis(m.TimeoutMs),
 		Allowance: int(m.Allowance), Attempt: int(m.Attempt), OperationID: m.OperationId, Fingerprint: m.Fingerprint,
+		Crashes: DecodeCrashes(m.Crashes),
 	}
 	switch {
 	case c.RequestID == "" || c.Service == "" || c.Method == "" || c.Path == "":
@@ -60,6 +63,7 @@
 			Running: int32(r.Load.Running), Waiting: int32(r.Load.Waiting), Limit: int32(r.Load.Limit),
 			WaitMs: int64(r.Load.WaitMs), Leaving: r.Load.Leaving,
 		},
+		Crashes: EncodeCrashes(r.Crashes),
 	})
 }
 
@@ -76,9 +80,30 @@
 			Running: int(m.GetLoad().GetRunning()), Waiting: int(m.GetLoad().GetWaiting()), Limit: int(m.GetLoad().GetLimit()),
 			WaitMs: clock.Millis(m.GetLoad().GetWaitMs()), Leaving: m.GetLoad().GetLeaving(),
 		},
+		Crashes: DecodeCrashes(m.Crashes),
 	}, nil
 }
 
+// EncodeCrashes returns the messages for the crashes.
+func EncodeCrashes(crashes []poison.Crash) []*peerpb.Crash {
+	var messages []*peerpb.Crash
+	for _, c := range crashes {
+		messages = append(messages, &peerpb.Crash{Id: c.ID, AtMs: int64(c.AtMs), Proof: c.Proof, Cleared: c.Cleared})
+	}
+	return messages
+}
+
+// DecodeCrashes returns the crashes in the messages.
+func DecodeCrashes(messages []*peerpb.Crash) []poison.Crash {
+	var crashes []poison.Crash
+	for _, m := range messages {
+		crashes = append(crashes, poison.Crash{
+			ID: m.GetId(), AtMs: clock.Millis(m.GetAtMs()), Proof: m.GetProof(), Cleared: m.GetCleared(),
+		})
+	}
+	return crashes
+}
+
 func encode(m proto.Message) (string, error) {
 	raw, err := proto.Marshal(m)
 	if err != nil {
--- a/standin/launch/launch.go
+++ b/standin/launch/launch.go
@@ -50,6 +50,8 @@
 	Work string
 	// Seed makes the targets' service times repeatable.
 	Seed uint64
+	// LateMs is the delay of requests marked "late".
+	LateMs int64
 	// NodeSettings are added to each node's settings file.
 	NodeSettings map[string]any
 	// Values replace published values of the profile.
@@ -280,6 +282,7 @@
 	}
 	settings := f.File.TargetSettings(svc, v.VM)
 	settings.ListenAddress, settings.AdminAddress, settings.EgressAddress = v.Target, v.Admin, v.Egress
+	settings.LateMs = f.Options.LateMs
 	settings.JournalFile = f.journalFile(v)
 	settings.Seed = f.Options.Seed*seedOfTarget + uint64(len(v.Name))
 	config, err := f.writeYAML(v.Name+"-target.yaml", settings)
