--- a/coltsfootd/passage/passage.go
+++ b/coltsfootd/passage/passage.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"syscall"
 	"time"
 
 	"coltsfootusher.example/coltsfootd/answer"
 	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/transport"
 	"coltsfootusher.example/core/balance"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/poison"
 	"coltsfootusher.example/core/preset"
 	"coltsfootusher.example/core/retry"
 	"coltsfootusher.example/core/route"
@@ -33,6 +33,8 @@
 type Homes interface {
 	// Home returns the name of the node; reason is set when there is none.
 	Home(c call.Call) (node string, reason call.Reason)
+	// Settle replaces an unknown outcome if another node knows what became of an operation whose home has gone.
+	Settle(ctx context.Context, c call.Call, a answer.Answer) answer.Answer
 }
 
 // Local serves calls whose target is the node's own.
@@ -40,6 +42,15 @@
 	Serve(ctx context.Context, c call.Call, header http.Header, body []byte) answer.Answer
 }
 
+// Suspects knows the requests that crash targets.
+type Suspects interface {
+	Standing(fingerprint uint64) poison.Standing
+	Crashes(fingerprint uint64) []poison.Crash
+	Learn(fingerprint uint64, crashes []poison.Crash)
+	// Runner returns the node whose target runs the suspects of the service.
+	Runner(service string, exclude map[string]bool) (vm.VM, bool)
+}
+
 // Config are the dependencies of a Sender.
 type Config struct {
 	Node          string
@@ -49,6 +60,7 @@
 	Peers         Peers
 	Homes         Homes
 	Local         Local
+	Suspects      Suspects
 	Client        *Client
 	Balancer      Balancer
 	Budget        Budget
@@ -101,19 +113,26 @@
 func (s *Sender) sendToHome(ctx context.Context, r Request) answer.Answer {
 	home, reason := s.Homes.Home(r.Call)
 	if reason != "" {
-		return answer.Refuse(reason)
+		return unknown(answer.Fail(reason))
 	}
 	v, ok := s.Snapshots.Current().VM(home)
 	if !ok {
-		a := answer.Fail(call.ReasonNodeUnreachable)
-		a.Result.Outcome = call.Unknown
-		return a
+		return s.Homes.Settle(ctx, r.Call, unknown(answer.Fail(call.ReasonNodeUnreachable)))
 	}
 	s.record(r.Call, "once-only call sent to its home", balance.Choice{Node: home}, "")
 	a := s.attempt(ctx, v, r)
-	if !a.OK() && a.Result.Outcome == "" {
-		// Only the home may say that the operation was not run, and it has not answered.
-		a.Result.Outcome = call.Unknown
+	if a.Result.Outcome == "" {
+		a = unknown(a)
+	}
+	return s.Homes.Settle(ctx, r.Call, a)
+}
+
+// unknown marks an answer that does not come from the home's table. Only the home may say that an operation was not
+// run: even if this message was not sent, an earlier one with the same id may have been.
+func unknown(a answer.Answer) answer.Answer {
+	a.Result.Outcome = call.Unknown
+	if a.Result.Run == call.NotRun {
+		a.Result.Run = call.MaybeRun
 	}
 	return a
 }
@@ -127,7 +146,11 @@
 	var exclude map[string]bool
 	last := answer.Refuse(call.ReasonNoTarget)
 	for {
-		v, choice, ok := s.choose(r.Call.Service, exclude)
+		standing := s.Suspects.Standing(r.Call.Fingerprint)
+		if standing == poison.Condemned {
+			return s.poisoned(r.Call, last)
+		}
+		v, choice, ok := s.choose(r.Call.Service, standing, exclude)
 		if !ok {
 			return last
 		}
@@ -165,7 +188,24 @@
 	return r.Allowance.Spend() && s.Budget.TryRetry(s.Clock.Now())
 }
 
-func (s *Sender) choose(service string, exclude map[string]bool) (vm.VM, balance.Choice, bool) {
+// poisoned refuses a request that has crashed targets; last is the answer to the attempt before, if there was one.
+func (s *Sender) poisoned(c call.Call, last answer.Answer) answer.Answer {
+	a := giveBack(answer.Refuse(call.ReasonPoison), c)
+	if last.Result.Run != call.NotRun {
+		a.Result.Run = call.MaybeRun
+	}
+	s.record(c, "request refused after crashes", balance.Choice{}, call.ReasonPoison)
+	return a
+}
+
+// choose lets the balancer choose a target; suspects go to the runner of their service.
+func (s *Sender) choose(
+	service string, standing poison.Standing, exclude map[string]bool,
+) (vm.VM, balance.Choice, bool) {
+	if standing == poison.Suspect {
+		v, ok := s.Suspects.Runner(service, exclude)
+		return v, balance.Choice{Node: v.Name, LoadAgeMs: -1}, ok
+	}
 	snapshot := s.Snapshots.Current()
 	svc, _ := snapshot.Service(service)
 	vms := snapshot.VMsOfService(service)
@@ -206,9 +246,11 @@
 	if s.Snapshots.Current().Presets.InForce().Policy == preset.On {
 		c.Allowance = takeAllowance(r)
 	}
+	c.Crashes = s.Suspects.Crashes(c.Fingerprint)
 	s.Balancer.Started(v.Name, now)
 	start := time.Now()
 	a := s.deliver(ctx, v, c, r)
+	s.Suspects.Learn(c.Fingerprint, a.Result.Crashes)
 	r.Allowance.Give(min(a.Result.AllowanceLeft, c.Allowance))
 	report := balance.Report{
 		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
@@ -262,7 +304,8 @@
 	})
 }
 
-// neverSent reports whether err proves that nothing of the request was sent.
+// neverSent reports whether err proves that nothing of the request was sent. Only an error of the dial does: an
+// established connection can also fail with EHOSTUNREACH, after the request was sent.
 func neverSent(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+	return transport.DialFailed(err)
 }
