Add coltsfootctl: check, status, explain and hash-key

Operators had no way to check published values before a node reads them, to see whether all nodes have the same versions in force, or to learn why a request was refused.

check reads settings and the five published values, reports every problem as FILE:LINE and compares the values with each other: services of routes and VMs, accounts of routes, failure domains, closed routes, services without a live target, values over 1 MB. Lines of decoding errors come from their byte offset, lines of other faults from a walk over the tokens. It also rejects what a node tolerates and means nothing: keys twice in an object, key hashes in upper case. status and explain ask the operator addresses of all nodes at once. hash-key reads standard input only.

A decision now carries the node that took it and its wall-clock time, since the monotonic times of different nodes have no order. Both programs end at once after help or a completion script: kingpin went on to parse and printed the usage behind the script.

--- /dev/null
+++ b/coltsfootctl/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd is the command line of coltsfootctl.
+package cmd
--- /dev/null
+++ b/coltsfootctl/cmd/fleet.go
@@ -0,0 +1,96 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"coltsfootusher.example/coltsfootctl/explanation"
+	"coltsfootusher.example/coltsfootctl/key"
+	"coltsfootusher.example/coltsfootctl/node"
+	"coltsfootusher.example/coltsfootctl/status"
+)
+
+// nodeFlags say which nodes to ask.
+type nodeFlags struct {
+	nodes   *[]string
+	file    *string
+	timeout *time.Duration
+}
+
+func addNodeFlags(clause *kingpin.CmdClause) nodeFlags {
+	return nodeFlags{
+		nodes:   clause.Flag("node", "Operator address of a node, IP address and port; may be repeated.").Strings(),
+		file:    clause.Flag("nodes-file", "File with operator addresses, one a line.").ExistingFile(),
+		timeout: clause.Flag("timeout", "Time to wait for each node.").Default("2s").Duration(),
+	}
+}
+
+func statusCommand(app *kingpin.Application) command {
+	clause := app.Command("status", "Show the state of the nodes. "+
+		"The exit status is 1 if a node does not answer or if versions differ.")
+	flags := addNodeFlags(clause)
+	output := clause.Flag("output", "table or json.").Short('o').Default("table").Enum("table", "json")
+	return command{clause: clause, run: func(ctx context.Context, s streams) (int, error) {
+		addresses, err := node.Addresses(*flags.nodes, *flags.file)
+		if err != nil {
+			return exitFailure, err
+		}
+		report := status.New(node.Statuses(ctx, addresses, *flags.timeout))
+		write := report.WriteTable
+		if *output == "json" {
+			write = report.WriteJSON
+		}
+		if err := write(s.out); err != nil {
+			return exitFailure, err
+		}
+		if !report.Agreed() {
+			return exitFailure, nil
+		}
+		return exitOK, nil
+	}}
+}
+
+func explainCommand(app *kingpin.Application) command {
+	clause := app.Command("explain", "Tell what the nodes decided about a request. "+
+		"Nodes remember their last few thousand decisions.")
+	flags := addNodeFlags(clause)
+	id := clause.Arg("request-id", "The Coltsfoot-Request-Id of the response.").Required().String()
+	return command{clause: clause, run: func(ctx context.Context, s streams) (int, error) {
+		addresses, err := node.Addresses(*flags.nodes, *flags.file)
+		if err != nil {
+			return exitFailure, err
+		}
+		answers := node.Decisions(ctx, addresses, *id, *flags.timeout)
+		code := exitOK
+		for _, a := range answers {
+			if a.Err != nil {
+				_, _ = fmt.Fprintf(s.err, "%s: no answer: %v\n", a.Address, a.Err)
+				code = exitFailure
+			}
+		}
+		sentences := explanation.Sentences(answers)
+		for _, sentence := range sentences {
+			_, _ = fmt.Fprintln(s.out, sentence)
+		}
+		if len(sentences) == 0 {
+			_, _ = fmt.Fprintf(s.err, "no node that answered remembers request %s\n", *id)
+			code = exitFailure
+		}
+		return code, nil
+	}}
+}
+
+func hashKeyCommand(app *kingpin.Application) command {
+	clause := app.Command("hash-key", "Read a key from standard input and print the hash to publish in accounts.json.")
+	return command{clause: clause, run: func(_ context.Context, s streams) (int, error) {
+		hash, err := key.Hash(s.in)
+		if err != nil {
+			return exitFailure, err
+		}
+		_, _ = fmt.Fprintln(s.out, hash)
+		return exitOK, nil
+	}}
+}
--- /dev/null
+++ b/coltsfootctl/explanation/doc.go
@@ -0,0 +1,2 @@
+// Package explanation turns the decisions about a request into sentences.
+package explanation
--- /dev/null
+++ b/coltsfootctl/explanation/explanation.go
@@ -0,0 +1,81 @@
+package explanation
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"coltsfootusher.example/coltsfootctl/node"
+	"coltsfootusher.example/coltsfootd/decision"
+)
+
+const timeFormat = "15:04:05.000"
+
+// step is a decision with the node that took it.
+type step struct {
+	decision.Decision
+	address string
+}
+
+// Sentences returns one sentence for each decision. Decisions of one node are in their own order; those of different
+// nodes are ordered by the nodes' wall clocks and so are exact only up to the difference of these clocks.
+func Sentences(answers []node.Answer[[]decision.Decision]) []string {
+	var steps []step
+	for _, a := range answers {
+		for _, d := range a.Value {
+			steps = append(steps, step{d, a.Address})
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return a.Time.Compare(b.Time) })
+	sentences := make([]string, 0, len(steps))
+	for _, s := range steps {
+		sentences = append(sentences, sentence(s))
+	}
+	return sentences
+}
+
+func sentence(s step) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s, %s: %s", s.Time.Format(timeFormat), cmp.Or(s.By, s.address), s.Part, s.Action)
+	if s.Node != "" && s.Node != s.By {
+		fmt.Fprintf(&b, " (to %s)", s.Node)
+	}
+	if s.Route != "" {
+		fmt.Fprintf(&b, " on %s", s.Route)
+	}
+	if s.Account != "" {
+		fmt.Fprintf(&b, " for client account %s", s.Account)
+	}
+	if s.Reason != "" {
+		fmt.Fprintf(&b, ", because %s (%s, status %d)", Meaning(s.Reason), s.Reason, s.Reason.Status())
+	}
+	b.WriteString(facts(s.Decision))
+	b.WriteString(".")
+	return b.String()
+}
+
+// facts names the numbers of the decision that are set.
+func facts(d decision.Decision) string {
+	var parts []string
+	if d.Attempt > 0 {
+		parts = append(parts, fmt.Sprintf("attempt %d", d.Attempt+1))
+	}
+	if d.Depth > 0 {
+		parts = append(parts, fmt.Sprintf("%d levels below the root call", d.Depth))
+	}
+	if d.WaitMs > 0 {
+		parts = append(parts, "wait "+d.WaitMs.Duration().String())
+	}
+	if d.FactAgeMs > 0 {
+		parts = append(parts, "load report "+d.FactAgeMs.Duration().Round(time.Millisecond).String()+" old")
+	}
+	if d.ElapsedMs > 0 {
+		parts = append(parts, "after "+d.ElapsedMs.Duration().String()+" in all")
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return "; " + strings.Join(parts, ", ")
+}
--- a/coltsfootctl/main.go
+++ b/coltsfootctl/main.go
@@ -1,4 +1,12 @@
-// Command coltsfootctl is part of coltsfootusher.
+// Command coltsfootctl checks settings and published values, and shows operators the state of a fleet.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"coltsfootusher.example/coltsfootctl/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/coltsfootctl/node/doc.go
@@ -0,0 +1,2 @@
+// Package node asks the operator addresses of nodes.
+package node
--- /dev/null
+++ b/coltsfootctl/published/check.go
@@ -0,0 +1,172 @@
+package published
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/preset"
+	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/service"
+	"coltsfootusher.example/core/vm"
+)
+
+// set holds the values of the files that were given; a section without a file has no document.
+type set struct {
+	documents map[fleet.Name]*document
+
+	presets  preset.Section
+	accounts account.Section
+	routes   route.Section
+	services service.Section
+	vms      vm.Section
+}
+
+// Check reads the files, at most one for each section, and returns their problems in the order of files and lines.
+// Values are compared across files only where both files are given and valid by themselves.
+func Check(paths map[fleet.Name]string) []Problem {
+	s := &set{documents: make(map[fleet.Name]*document, len(paths))}
+	for name, path := range paths {
+		s.documents[name] = read(path, s.section(name))
+		if len(s.documents[name].problems) == 0 {
+			s.checkSection(name)
+		}
+	}
+	s.compare()
+	var problems []Problem
+	for _, d := range s.documents {
+		problems = append(problems, d.problems...)
+	}
+	slices.SortStableFunc(problems, func(a, b Problem) int {
+		return cmp.Or(strings.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
+	return problems
+}
+
+func (s *set) section(name fleet.Name) any {
+	return map[fleet.Name]any{
+		fleet.Presets: &s.presets, fleet.Accounts: &s.accounts, fleet.Routes: &s.routes,
+		fleet.Services: &s.services, fleet.VMs: &s.vms,
+	}[name]
+}
+
+// checkSection validates item by item, so that each problem gets the line of its item, and then the whole section,
+// so that nothing passes that a node would reject.
+func (s *set) checkSection(name fleet.Name) {
+	d := s.documents[name]
+	var whole error
+	switch name {
+	case fleet.Presets:
+		for key, p := range s.presets.Presets {
+			d.invalid("presets."+key, p.Validate())
+		}
+		whole = s.presets.Validate()
+	case fleet.Accounts:
+		for i, a := range s.accounts.Accounts {
+			limits := a
+			limits.KeyHashes = nil
+			d.invalid(item("accounts", i), limits.Validate())
+		}
+		s.checkKeyHashes()
+		checkUnique(d, "accounts", "id", s.accounts.Accounts, func(a account.Account) string { return a.ID })
+		whole = s.accounts.Validate()
+	case fleet.Routes:
+		for i, r := range s.routes.Routes {
+			d.invalid(item("routes", i), r.Validate())
+		}
+		checkUnique(d, "routes", "prefix", s.routes.Routes, func(r route.Route) string { return r.Prefix })
+		whole = s.routes.Validate()
+	case fleet.Services:
+		for i, svc := range s.services.Services {
+			d.invalid(item("services", i), svc.Validate())
+		}
+		checkUnique(d, "services", "name", s.services.Services, func(svc service.Service) string { return svc.Name })
+		s.checkServiceDomains()
+		whole = s.services.Validate()
+	case fleet.VMs:
+		for i, v := range s.vms.VMs {
+			d.invalid(item("vms", i), v.Validate())
+		}
+		checkUnique(d, "vms", "name", s.vms.VMs, func(v vm.VM) string { return v.Name })
+		checkUnique(d, "vms", "peerAddress", s.vms.VMs, func(v vm.VM) string { return v.PeerAddress })
+		whole = s.vms.Validate()
+	}
+	if len(d.problems) == 0 {
+		d.invalid("", whole)
+	}
+}
+
+// invalid reports an error of the core types at the field that its message names, or else at the whole item.
+func (d *document) invalid(path string, err error) {
+	if err == nil {
+		return
+	}
+	message := err.Error()
+	// The part before the last quoted name says which item is meant, the part after it names the field.
+	about := message[strings.LastIndex(message, "\": ")+1:]
+	for _, word := range strings.FieldsFunc(about, func(r rune) bool { return strings.ContainsRune(" :,\"", r) }) {
+		field := strings.TrimPrefix(path+"."+word, ".")
+		if _, ok := d.lines[field]; ok {
+			path = field
+			break
+		}
+	}
+	d.report(path, "%s", message)
+}
+
+func item(list string, index int) string {
+	return fmt.Sprintf("%s[%d]", list, index)
+}
+
+func checkUnique[T any](d *document, list, field string, items []T, valueOf func(T) string) {
+	first := make(map[string]int, len(items))
+	for i, it := range items {
+		value := valueOf(it)
+		path := item(list, i) + "." + field
+		if other, ok := first[value]; ok {
+			d.report(path, "%s %q is listed twice, first at line %d", field, value, d.lines[item(list, other)+"."+field])
+			continue
+		}
+		first[value] = i
+	}
+}
+
+// checkKeyHashes reports a hash that occurs twice; upper-case hashes never match, since nodes compare lower case.
+func (s *set) checkKeyHashes() {
+	d := s.documents[fleet.Accounts]
+	owners := make(map[string]string)
+	for i, a := range s.accounts.Accounts {
+		for j, hash := range a.KeyHashes {
+			path := item(item("accounts", i)+".keyHashes", j)
+			one := account.Account{ID: a.ID, RatePerSecond: 1, Burst: 1, KeyHashes: []string{hash}}
+			if err := one.Validate(); err != nil {
+				d.report(path, "%v", err)
+			}
+			if hash != strings.ToLower(hash) {
+				d.report(path, "account %q: key hash must be in lower case, or no key matches it", a.ID)
+			}
+			if owner, ok := owners[hash]; ok {
+				d.report(path, "account %q: key hash is listed for account %q too; each key belongs to one account", a.ID, owner)
+			}
+			if hash == account.HashKey("") {
+				d.report(path, "account %q: key hash is that of an empty key", a.ID)
+			}
+			owners[hash] = a.ID
+		}
+	}
+}
+
+func (s *set) checkServiceDomains() {
+	d := s.documents[fleet.Services]
+	for i, svc := range s.services.Services {
+		for j, domain := range svc.FailureDomains {
+			if !slices.Contains(s.services.FailureDomains, domain) {
+				d.report(item(item("services", i)+".failureDomains", j),
+					"service %q: unknown failure domain %q, expected one of %q", svc.Name, domain, s.services.FailureDomains)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coltsfootctl/published/doc.go
@@ -0,0 +1,2 @@
+// Package published checks the files that operators publish, each one and across files.
+package published
--- /dev/null
+++ b/coltsfootctl/published/document.go
@@ -0,0 +1,110 @@
+package published
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"coltsfootusher.example/core/fleet"
+)
+
+// maxValueBytes is the largest value that the configuration service holds, 1 MB.
+const maxValueBytes = 1_000_000
+
+// Problem is one fault of a file.
+type Problem struct {
+	File string
+	// Line counts from 1.
+	Line int
+	// Message says what is wrong and what is expected.
+	Message string
+}
+
+// String returns the problem as FILE:LINE: message.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Message)
+}
+
+// document is one published value with the lines of its parts.
+type document struct {
+	path     string
+	data     []byte
+	lines    map[string]int
+	problems []Problem
+}
+
+// SectionOf returns the section that a file of this name holds.
+func SectionOf(path string) (fleet.Name, bool) {
+	for _, name := range fleet.Names() {
+		if filepath.Base(path) == string(name)+".json" {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// read loads the file and locates its parts; section is a pointer to the type that the file is decoded into.
+func read(path string, section any) *document {
+	d := &document{path: path, lines: make(map[string]int)}
+	info, err := os.Stat(path)
+	if err != nil {
+		d.report("", "file cannot be read: %v", err)
+		return d
+	}
+	if info.Size() > maxValueBytes {
+		d.report("", "value has %d bytes, the configuration service holds at most %d", info.Size(), maxValueBytes)
+		return d
+	}
+	if d.data, err = os.ReadFile(path); err != nil {
+		d.report("", "file cannot be read: %v", err)
+		return d
+	}
+	d.decode(section)
+	return d
+}
+
+func (d *document) decode(section any) {
+	if err := json.Unmarshal(d.data, section); err != nil {
+		d.reportOffset(err)
+		return
+	}
+	walk(d, section)
+}
+
+// reportOffset reports a decoding error at the line of its byte offset.
+func (d *document) reportOffset(err error) {
+	var syntax *json.SyntaxError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		d.reportLine(d.lineAt(syntax.Offset), "invalid JSON: %v", err)
+	case errors.As(err, &wrongType):
+		d.reportLine(d.lineAt(wrongType.Offset), "%s must be %s, got %s", wrongType.Field, typeName(wrongType.Type), wrongType.Value)
+	default:
+		d.reportLine(1, "invalid JSON: %v", err)
+	}
+}
+
+// lineAt returns the line of the last byte that the decoder had read.
+func (d *document) lineAt(offset int64) int {
+	end := min(max(0, int(offset)-1), len(d.data))
+	return 1 + bytes.Count(d.data[:end], []byte("\n"))
+}
+
+// report adds a problem at the part with this path, or at the nearest part around it that is in the file.
+func (d *document) report(path, format string, args ...any) {
+	line, ok := d.lines[path]
+	for !ok && path != "" {
+		path = path[:max(0, strings.LastIndexAny(path, ".["))]
+		line, ok = d.lines[path]
+	}
+	d.reportLine(max(1, line), format, args...)
+}
+
+func (d *document) reportLine(line int, format string, args ...any) {
+	d.problems = append(d.problems, Problem{File: d.path, Line: line, Message: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/coltsfootctl/status/doc.go
@@ -0,0 +1,2 @@
+// Package status compares the states of nodes and prints them.
+package status
--- a/coltsfootd/cmd/cmd.go
+++ b/coltsfootd/cmd/cmd.go
@@ -29,16 +29,27 @@
   coltsfootd check examples/sablons/coltsfootd.yaml
   coltsfootd run --config examples/sablons/coltsfootd.yaml`
 
+// exitCode ends Main with the code.
+type exitCode int
+
 // Main runs the command line and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(args []string, stdout, stderr io.Writer) (code int) {
 	app := kingpin.New("coltsfootd", help)
 	app.Version(Version)
 	app.HelpFlag.Short('h')
 	app.UsageWriter(stdout)
 	app.ErrorWriter(stderr)
-	// Exit codes are returned, so that deferred calls run.
-	exited := -1
-	app.Terminate(func(code int) { exited = code })
+	// The library continues to parse after it has printed help or a completion script unless the call does not return.
+	app.Terminate(func(code int) { panic(exitCode(code)) })
+	defer func() {
+		switch reason := recover().(type) {
+		case nil:
+		case exitCode:
+			code = int(reason)
+		default:
+			panic(reason)
+		}
+	}()
 
 	runCommand := app.Command("run", "Run the node until it is told to stop (SIGTERM or SIGINT).")
 	runConfig := runCommand.Flag("config", "Settings file (YAML).").Required().ExistingFile()
@@ -46,9 +57,6 @@
 	checkConfig := checkCommand.Arg("file", "Settings file (YAML).").Required().ExistingFile()
 
 	command, err := app.Parse(args)
-	if exited >= 0 {
-		return exited
-	}
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "coltsfootd: %v, try --help\n", err)
 		return exitUsage
--- a/coltsfootd/decision/decision.go
+++ b/coltsfootd/decision/decision.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -13,16 +14,22 @@
 
 // Decision is one routing or admission decision with the facts that it used.
 type Decision struct {
-	AtMs      clock.Millis `json:"atMs"`
-	Part      string       `json:"part"`
-	RequestID string       `json:"requestId"`
-	Account   string       `json:"account,omitempty"`
-	Route     string       `json:"route,omitempty"`
-	Action    string       `json:"action"`
-	Node      string       `json:"node,omitempty"`
-	Reason    call.Reason  `json:"reason,omitempty"`
-	Attempt   int          `json:"attempt"`
-	Depth     int          `json:"depth"`
+	// AtMs is on the node's monotonic clock and has no meaning outside the process.
+	AtMs clock.Millis `json:"atMs"`
+	// Time is the wall clock of the node; the recorder sets it.
+	Time time.Time `json:"time"`
+	// By is the node that took the decision; the recorder sets it.
+	By        string `json:"by"`
+	Part      string `json:"part"`
+	RequestID string `json:"requestId"`
+	Account   string `json:"account,omitempty"`
+	Route     string `json:"route,omitempty"`
+	Action    string `json:"action"`
+	// Node is the node that the decision names, such as the chosen one.
+	Node    string      `json:"node,omitempty"`
+	Reason  call.Reason `json:"reason,omitempty"`
+	Attempt int         `json:"attempt"`
+	Depth   int         `json:"depth"`
 	// WaitMs is the estimated or measured wait in a queue.
 	WaitMs clock.Millis `json:"waitMs"`
 	// FactAgeMs is the age of the facts on which the decision rests; -1 when none were known.
@@ -33,6 +40,7 @@
 
 // Recorder keeps recent decisions; it is safe for concurrent use.
 type Recorder struct {
+	node      string
 	logger    log.Logger
 	perSecond int
 	omitted   *expvar.Int
@@ -45,9 +53,9 @@
 	written int
 }
 
-// New returns a recorder that keeps size decisions and writes at most perSecond log lines a second.
-func New(logger log.Logger, metrics *expvar.Map, size, perSecond int) *Recorder {
-	r := &Recorder{logger: logger, perSecond: perSecond, ring: make([]Decision, 0, size)}
+// New returns the recorder of a node that keeps size decisions and writes at most perSecond log lines a second.
+func New(node string, logger log.Logger, metrics *expvar.Map, size, perSecond int) *Recorder {
+	r := &Recorder{node: node, logger: logger, perSecond: perSecond, ring: make([]Decision, 0, size)}
 	r.omitted = new(expvar.Int)
 	r.refusals = new(expvar.Map).Init()
 	for _, reason := range call.Reasons() {
@@ -60,6 +68,7 @@
 
 // Record stores the decision, counts its reason and writes its log line unless the line is sampled out.
 func (r *Recorder) Record(d Decision) {
+	d.By, d.Time = r.node, time.Now()
 	if d.Reason != "" {
 		r.refusals.Add(string(d.Reason), 1)
 	}
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	metrics := expvar.NewMap("coltsfootd")
-	n.recorder = decision.New(n.logger, metrics, recentDecisions, s.LogSamplePerSecond)
+	n.recorder = decision.New(s.NodeName, n.logger, metrics, recentDecisions, s.LogSamplePerSecond)
 	client := platform.New(s.PlatformAddress, s.NodeName, transport.New(s.SourceAddress(), 0, platformIdleConns))
 	n.control = control.New(client, s.WatchWaitMs, logging.Part(n.logger, "control"))
 	n.buildTraffic(signer, metrics)
