Publish metrics for alarms, count omitted log lines, describe them for operators

The node published two counters. The counter of refusals counted one call once for each part that reported it, sampling dropped log lines that only a metric mentioned, and no page explained reasons or metrics.

Package metric lists the names, counts callers' calls by class of route and outcome, counts calls to the platform and their errors in the transport, and publishes gate, sections and contacts from the node's status. Reasons are counted by part (refusals, innerRefusals, gateRefusals, attemptFailures); refusals now counts each call once.

--- a/coltsfootctl/explanation/explanation.go
+++ b/coltsfootctl/explanation/explanation.go
@@ -39,8 +39,11 @@
 func sentence(s step) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s, %s: %s", s.Time.Format(timeFormat), cmp.Or(s.By, s.address), s.Part, s.Action)
-	if s.Node != "" && s.Node != s.By {
+	switch {
+	case s.Node != "" && s.Node != s.By:
 		fmt.Fprintf(&b, " (to %s)", s.Node)
+	case s.Part == decision.Passage:
+		b.WriteString(" (to the node's own)")
 	}
 	if s.Route != "" {
 		fmt.Fprintf(&b, " on %s", s.Route)
--- a/coltsfootd/decision/decision.go
+++ b/coltsfootd/decision/decision.go
@@ -12,6 +12,14 @@
 	"coltsfootusher.example/core/clock"
 )
 
+// The parts of a node whose decisions are recorded.
+const (
+	Entry   = "entry"
+	Passage = "passage"
+	Gate    = "gate"
+	Egress  = "egress"
+)
+
 // Decision is one routing or admission decision with the facts that it used.
 type Decision struct {
 	// AtMs is on the node's monotonic clock and has no meaning outside the process.
@@ -44,35 +52,53 @@
 	logger    log.Logger
 	perSecond int
 	omitted   *expvar.Int
-	refusals  *expvar.Map
+	// reasons counts the reasons of each part by itself, since one call is refused in several parts.
+	reasons map[string]*expvar.Map
 
 	mu      sync.Mutex
 	ring    []Decision
 	next    int
 	second  clock.Millis
 	written int
+	// skipped counts the lines omitted in the current second.
+	skipped int64
 }
 
 // New returns the recorder of a node that keeps size decisions and writes at most perSecond log lines a second.
 func New(node string, logger log.Logger, metrics *expvar.Map, size, perSecond int) *Recorder {
 	r := &Recorder{node: node, logger: logger, perSecond: perSecond, ring: make([]Decision, 0, size)}
 	r.omitted = new(expvar.Int)
-	r.refusals = new(expvar.Map).Init()
-	for _, reason := range call.Reasons() {
-		r.refusals.Add(string(reason), 0)
+	r.reasons = make(map[string]*expvar.Map)
+	for part, name := range map[string]string{
+		Entry: "refusals", Egress: "innerRefusals", Gate: "gateRefusals", Passage: "attemptFailures",
+	} {
+		r.reasons[part] = newReasonCounter()
+		metrics.Set(name, r.reasons[part])
 	}
 	metrics.Set("decisionLinesOmitted", r.omitted)
-	metrics.Set("refusals", r.refusals)
 	return r
 }
 
+// newReasonCounter returns a map in which every reason is present from the start, so that alarms can rely on it.
+func newReasonCounter() *expvar.Map {
+	m := new(expvar.Map).Init()
+	for _, reason := range call.Reasons() {
+		m.Add(string(reason), 0)
+	}
+	return m
+}
+
 // Record stores the decision, counts its reason and writes its log line unless the line is sampled out.
 func (r *Recorder) Record(d Decision) {
 	d.By, d.Time = r.node, time.Now()
-	if d.Reason != "" {
-		r.refusals.Add(string(d.Reason), 1)
+	if counter, ok := r.reasons[d.Part]; ok && d.Reason != "" {
+		counter.Add(string(d.Reason), 1)
 	}
-	if !r.store(d) {
+	write, skipped := r.store(d)
+	if skipped > 0 {
+		_ = level.Info(r.logger).Log("part", "decision", "msg", "decision lines omitted", "count", skipped)
+	}
+	if !write {
 		r.omitted.Add(1)
 		return
 	}
@@ -81,8 +107,9 @@
 		"waitMs", int64(d.WaitMs), "factAgeMs", int64(d.FactAgeMs), "elapsedMs", int64(d.ElapsedMs))
 }
 
-// store reports whether the decision's log line is within the sampling limit.
-func (r *Recorder) store(d Decision) bool {
+// store reports whether the decision's log line is within the sampling limit, and how many lines were omitted in an
+// earlier second and not reported yet.
+func (r *Recorder) store(d Decision) (write bool, skipped int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.ring) < cap(r.ring) {
@@ -95,9 +122,14 @@
 	if d.AtMs-r.second >= second {
 		r.second = d.AtMs
 		r.written = 0
+		skipped, r.skipped = r.skipped, 0
 	}
 	r.written++
-	return r.written <= r.perSecond
+	if r.written > r.perSecond {
+		r.skipped++
+		return false, skipped
+	}
+	return true, skipped
 }
 
 // Explain returns the remembered decisions about a request, oldest first.
--- a/coltsfootd/egress/egress.go
+++ b/coltsfootd/egress/egress.go
@@ -138,7 +138,7 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, c call.Call, reason call.Reason) {
 	h.Recorder.Record(decision.Decision{
-		AtMs: h.Clock.Now(), Part: "egress", RequestID: c.RequestID, Account: c.Account, Route: c.Route,
+		AtMs: h.Clock.Now(), Part: decision.Egress, RequestID: c.RequestID, Account: c.Account, Route: c.Route,
 		Action: "inner call refused", Node: h.Node, Reason: reason, Depth: c.Depth, FactAgeMs: -1,
 	})
 	answer.Refuse(reason).Write(w)
--- a/coltsfootd/entry/entry.go
+++ b/coltsfootd/entry/entry.go
@@ -13,6 +13,7 @@
 	"coltsfootusher.example/coltsfootd/answer"
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/gateway"
+	"coltsfootusher.example/coltsfootd/metric"
 	"coltsfootusher.example/coltsfootd/passage"
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/call"
@@ -69,6 +70,7 @@
 	Operations Operations
 	Sender     Sender
 	Recorder   *decision.Recorder
+	Calls      *metric.CallCounter
 	MaxBody    int64
 }
 
@@ -192,7 +194,7 @@
 		Deadline: received + c.TimeoutMs, Allowance: retry.NewAllowance(p.RetryAllowance),
 	})
 	a.Result.Node = h.Node
-	h.record(c, "call finished", a.Result.Reason, received)
+	h.record(c, "call finished", a.Result, received)
 	return &a
 }
 
@@ -205,7 +207,7 @@
 			a.Result.Run = call.MaybeRun
 		}
 	}
-	h.record(c, "call refused by entry", reason, received)
+	h.record(c, "call refused by entry", a.Result, received)
 	return &a
 }
 
@@ -221,11 +223,12 @@
 	}
 }
 
-func (h *Handler) record(c call.Call, action string, reason call.Reason, received clock.Millis) {
+func (h *Handler) record(c call.Call, action string, result call.Result, received clock.Millis) {
 	now := h.Clock.Now()
+	h.Calls.Count(c.Class, metric.OutcomeOf(result))
 	h.Recorder.Record(decision.Decision{
-		AtMs: now, Part: "entry", RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
-		Node: h.Node, Reason: reason, FactAgeMs: -1, ElapsedMs: now - received,
+		AtMs: now, Part: decision.Entry, RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
+		Node: h.Node, Reason: result.Reason, FactAgeMs: -1, ElapsedMs: now - received,
 	})
 }
 
--- a/coltsfootd/gateway/gateway.go
+++ b/coltsfootd/gateway/gateway.go
@@ -163,7 +163,7 @@
 func (g *Gateway) record(c call.Call, action string, reason call.Reason, since clock.Millis) {
 	now := g.Clock.Now()
 	g.Recorder.Record(decision.Decision{
-		AtMs: now, Part: "gate", RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
+		AtMs: now, Part: decision.Gate, RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
 		Node: g.Node, Reason: reason, Attempt: c.Attempt, Depth: c.Depth, WaitMs: now - since,
 	})
 }
--- /dev/null
+++ b/coltsfootd/metric/metric.go
@@ -0,0 +1,170 @@
+package metric
+
+import (
+	"expvar"
+	"net/http"
+	"slices"
+
+	"coltsfootusher.example/coltsfootd/operator"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/route"
+)
+
+// Map is the name of the map in /debug/vars that holds the metrics of a node.
+const Map = "coltsfootd"
+
+// Name is the name of a metric. Names are stable: a metric is not renamed, and a removed name is not used again.
+type Name string
+
+// The metrics. Names ending in Ms are milliseconds; all others count.
+const (
+	Calls                Name = "calls"
+	Refusals             Name = "refusals"
+	InnerRefusals        Name = "innerRefusals"
+	GateRefusals         Name = "gateRefusals"
+	AttemptFailures      Name = "attemptFailures"
+	DecisionLinesOmitted Name = "decisionLinesOmitted"
+	PeerRequestsRejected Name = "peerRequestsRejected"
+	PlatformCalls        Name = "platformCalls"
+	PlatformErrors       Name = "platformErrors"
+	GateRunning          Name = "gateRunning"
+	GateWaiting          Name = "gateWaiting"
+	GateLimit            Name = "gateLimit"
+	GateWaitMs           Name = "gateWaitMs"
+	InFlight             Name = "inFlight"
+	SectionVersions      Name = "sectionVersions"
+	SectionAgesMs        Name = "sectionAgesMs"
+	LastContactMs        Name = "lastContactMs"
+	Ready                Name = "ready"
+	Leaving              Name = "leaving"
+)
+
+// Names lists the metrics of this package, sorted. Parts of the node may publish further ones.
+func Names() []Name {
+	names := []Name{
+		Calls, Refusals, InnerRefusals, GateRefusals, AttemptFailures, DecisionLinesOmitted, PeerRequestsRejected,
+		PlatformCalls, PlatformErrors, GateRunning, GateWaiting, GateLimit, GateWaitMs, InFlight,
+		SectionVersions, SectionAgesMs, LastContactMs, Ready, Leaving,
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Outcome says how a call of a caller ended.
+type Outcome string
+
+// The outcomes of calls.
+const (
+	// Answered calls got the target's response, whatever its status.
+	Answered Outcome = "answered"
+	// Refused calls were not run.
+	Refused Outcome = "refused"
+	// Failed calls may have been run and got no complete response.
+	Failed Outcome = "failed"
+)
+
+// OutcomeOf returns the outcome of a call with the result.
+func OutcomeOf(r call.Result) Outcome {
+	switch {
+	case r.Reason == "":
+		return Answered
+	case r.Run == call.NotRun:
+		return Refused
+	default:
+		return Failed
+	}
+}
+
+// CallCounter counts the calls of callers by class of route and outcome.
+type CallCounter struct {
+	calls *expvar.Map
+}
+
+// NewCallCounter publishes a counter for each class and outcome; calls without a route count under "none".
+func NewCallCounter(metrics *expvar.Map) *CallCounter {
+	c := &CallCounter{calls: new(expvar.Map).Init()}
+	for _, class := range []route.Class{route.Lookup, route.OnceOnly, ""} {
+		for _, outcome := range []Outcome{Answered, Refused, Failed} {
+			c.calls.Add(callKey(class, outcome), 0)
+		}
+	}
+	metrics.Set(string(Calls), c.calls)
+	return c
+}
+
+// Count counts one call.
+func (c *CallCounter) Count(class route.Class, outcome Outcome) {
+	c.calls.Add(callKey(class, outcome), 1)
+}
+
+func callKey(class route.Class, outcome Outcome) string {
+	if class == "" {
+		class = "none"
+	}
+	return string(class) + "." + string(outcome)
+}
+
+// Publish publishes the metrics that are read from the node's status.
+func Publish(metrics *expvar.Map, status func() operator.Status) {
+	gauges := map[Name]func(s operator.Status) any{
+		GateRunning:     func(s operator.Status) any { return s.Load.Running },
+		GateWaiting:     func(s operator.Status) any { return s.Load.Waiting },
+		GateLimit:       func(s operator.Status) any { return s.Load.Limit },
+		GateWaitMs:      func(s operator.Status) any { return s.Load.WaitMs },
+		InFlight:        func(s operator.Status) any { return s.InFlight },
+		SectionVersions: func(s operator.Status) any { return s.Versions },
+		SectionAgesMs:   func(s operator.Status) any { return known(s.AgesMs) },
+		LastContactMs:   func(s operator.Status) any { return known(s.LastContactMs) },
+		Ready:           func(s operator.Status) any { return asNumber(s.Ready) },
+		Leaving:         func(s operator.Status) any { return asNumber(s.Leaving) },
+	}
+	for name, read := range gauges {
+		metrics.Set(string(name), expvar.Func(func() any { return read(status()) }))
+	}
+}
+
+// known returns an empty map instead of none, so that the metric is always an object; clock.Never becomes -1.
+func known[K comparable](ages map[K]clock.Millis) map[K]clock.Millis {
+	result := make(map[K]clock.Millis, len(ages))
+	for name, age := range ages {
+		if age == clock.Never {
+			age = -1
+		}
+		result[name] = age
+	}
+	return result
+}
+
+func asNumber(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// countingTransport counts the calls to the platform and those that brought no usable response.
+type countingTransport struct {
+	next   http.RoundTripper
+	calls  *expvar.Int
+	errors *expvar.Int
+}
+
+// CountPlatform returns a transport that counts calls to the platform and their errors. Calls that the node itself
+// gave up are counted as errors too, since a platform that accepts calls and never answers looks the same.
+func CountPlatform(metrics *expvar.Map, next http.RoundTripper) http.RoundTripper {
+	t := &countingTransport{next: next, calls: new(expvar.Int), errors: new(expvar.Int)}
+	metrics.Set(string(PlatformCalls), t.calls)
+	metrics.Set(string(PlatformErrors), t.errors)
+	return t
+}
+
+// RoundTrip sends the request and counts it.
+func (t *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.calls.Add(1)
+	response, err := t.next.RoundTrip(r)
+	if err != nil || response.StatusCode >= http.StatusBadRequest {
+		t.errors.Add(1)
+	}
+	return response, err
+}
--- /dev/null
+++ b/coltsfootd/metric/metric_test.go
@@ -0,0 +1,97 @@
+package metric_test
+
+import (
+	"encoding/json"
+	"errors"
+	"expvar"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/coltsfootd/metric"
+	"coltsfootusher.example/coltsfootd/operator"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/route"
+)
+
+// Guards against a call that is counted under the wrong outcome, on which alarms rest.
+func TestOutcomeOf(t *testing.T) {
+	assert.Equal(t, metric.OutcomeOf(call.Result{Run: call.WasRun}), metric.Answered)
+	assert.Equal(t, metric.OutcomeOf(call.Result{Reason: call.ReasonOverRate, Run: call.NotRun}), metric.Refused)
+	assert.Equal(t, metric.OutcomeOf(call.Result{Reason: call.ReasonTargetFailed, Run: call.MaybeRun}), metric.Failed)
+}
+
+// Guards against counters and gauges that do not follow the node's state, or that are not valid JSON.
+func TestMetricsFollowTheState(t *testing.T) {
+	metrics := new(expvar.Map).Init()
+	status := operator.Status{Ready: true, AgesMs: map[fleet.Name]clock.Millis{fleet.VMs: clock.Never}}
+	metric.Publish(metrics, func() operator.Status { return status })
+	calls := metric.NewCallCounter(metrics)
+	calls.Count(route.Lookup, metric.Answered)
+	calls.Count("", metric.Refused)
+	status.Load.Waiting = 7
+
+	var got struct {
+		Calls                        map[string]int64
+		GateWaiting, Ready           int
+		SectionAgesMs, LastContactMs map[string]int64
+	}
+	assert.NilError(t, json.Unmarshal([]byte(metrics.String()), &got))
+	assert.Equal(t, got.Calls["lookup.answered"], int64(1))
+	assert.Equal(t, got.Calls["none.refused"], int64(1))
+	assert.Equal(t, got.Calls["onceOnly.failed"], int64(0))
+	assert.Equal(t, got.GateWaiting, 7)
+	assert.Equal(t, got.Ready, 1)
+	assert.Equal(t, got.SectionAgesMs["vms"], int64(-1))
+	assert.Assert(t, got.LastContactMs != nil)
+}
+
+type failing struct{}
+
+func (failing) RoundTrip(*http.Request) (*http.Response, error) { return nil, errors.New("refused") }
+
+// Guards against a platform that fails without a trace in the metrics.
+func TestCountPlatform(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/down" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer srv.Close()
+	metrics := new(expvar.Map).Init()
+	transport := metric.CountPlatform(metrics, http.DefaultTransport)
+	for _, path := range []string{"/up", "/down"} {
+		request := httptest.NewRequest(http.MethodGet, srv.URL+path, nil)
+		response, err := transport.RoundTrip(request)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+	}
+	assert.Equal(t, metrics.Get("platformCalls").String(), "2")
+	assert.Equal(t, metrics.Get("platformErrors").String(), "1")
+	metrics = new(expvar.Map).Init()
+	request := httptest.NewRequest(http.MethodGet, srv.URL, nil)
+	_, err := metric.CountPlatform(metrics, failing{}).RoundTrip(request) //nolint:bodyclose // no response
+	assert.Assert(t, err != nil)
+	assert.Equal(t, metrics.Get("platformErrors").String(), "1")
+}
+
+// Guards against a refusal reason or a metric that operators meet and find nothing about.
+func TestOperatorsPageNamesEveryReasonAndMetric(t *testing.T) {
+	data, err := os.ReadFile("../../docs/operators.md")
+	assert.NilError(t, err)
+	page := string(data)
+	for _, reason := range call.Reasons() {
+		row := fmt.Sprintf("\n| `%s` | %d | ", reason, reason.Status())
+		assert.Assert(t, strings.Contains(page, row), "reason %s has no entry with its status", reason)
+	}
+	for _, name := range metric.Names() {
+		assert.Assert(t, strings.Contains(page, fmt.Sprintf("\n| `%s` | ", name)), "metric %s has no entry", name)
+	}
+}
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -23,6 +23,7 @@
 	"coltsfootusher.example/coltsfootd/gateway"
 	"coltsfootusher.example/coltsfootd/inflight"
 	"coltsfootusher.example/coltsfootd/logging"
+	"coltsfootusher.example/coltsfootd/metric"
 	"coltsfootusher.example/coltsfootd/operations"
 	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/coltsfootd/passage"
@@ -94,9 +95,11 @@
 	if err != nil {
 		return nil, err
 	}
-	metrics := expvar.NewMap("coltsfootd")
+	metrics := expvar.NewMap(metric.Map)
+	metric.Publish(metrics, n.status)
 	n.recorder = decision.New(s.NodeName, n.logger, metrics, recentDecisions, s.LogSamplePerSecond)
-	client := platform.New(s.PlatformAddress, s.NodeName, transport.New(s.SourceAddress(), 0, platformIdleConns))
+	client := platform.New(s.PlatformAddress, s.NodeName,
+		metric.CountPlatform(metrics, transport.New(s.SourceAddress(), 0, platformIdleConns)))
 	n.control = control.New(client, s.WatchWaitMs, logging.Part(n.logger, "control"))
 	n.buildTraffic(signer, metrics)
 	if err := n.listen(); err != nil {
@@ -126,7 +129,7 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Holder: n.control, Limiter: operations.NoLimit{},
-		Operations: ops, Sender: sender, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes,
+		Operations: ops, Sender: sender, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes, Calls: metric.NewCallCounter(metrics),
 	})
 	n.servers = []*server{
 		{name: "entry", http: newServer(n.entry, s.MaxHeaderBytes)},
