--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 test: build
 	mkdir -p tmp/race
 	$(GO) build -race -o tmp/race/ ./coltsfootd ./coltsfootctl ./standin
-	@$(if $(KNOWN_RED),echo "passed over, see KNOWN-RED.txt: $(KNOWN_RED)",true)
+	@$(if $(KNOWN_RED),echo "passed over (see KNOWN-RED.txt): $(KNOWN_RED)",true)
 	COLTSFOOTUSHER_BIN=$(CURDIR)/tmp/race $(GO) test -race -timeout 8m $(SKIP) $(MODULES:%=./%/...)
 
 lint:
--- a/coltsfootd/gateway/gateway.go
+++ b/coltsfootd/gateway/gateway.go
@@ -192,7 +192,7 @@
 func (g *Gateway) record(c call.Call, action string, reason call.Reason, since clock.Millis) {
 	now := g.Clock.Now()
 	g.Recorder.Record(decision.Decision{
-		AtMs: now, Part: "gate", RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
+		AtMs: now, Part: decision.Gate, RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
 		Node: g.Node, Reason: reason, Attempt: c.Attempt, Depth: c.Depth, WaitMs: now - since,
 	})
 }
