--- a/coltsfootctl/explanation/reason.go
+++ b/coltsfootctl/explanation/reason.go
@@ -30,7 +30,7 @@
 	call.ReasonConfirmTimeout:      "the node could not confirm its published values in time",
 	call.ReasonContextUnknown:      "the target used a context handle of a call that is not in flight",
 	call.ReasonPoison:              "requests like this one crashed targets",
-	call.ReasonSuspectElsewhere:    "requests like this one were in flight when a target died; this one may run only at another target of the domain",
+	call.ReasonSuspectElsewhere:    "a suspect of crashing targets may run only at another target of the domain",
 	call.ReasonAnswerNotKept:       "the operation is done, but its answer was too large to be kept",
 	call.ReasonOperationIDRequired: "the once-only operation carries neither an operation id nor an idempotency key",
 	call.ReasonOperationIDInvalid:  "the operation id or idempotency key is not valid",
