Replace the control loop: peers, pauses, leaving and status

Cause: control was a placeholder in which every node watched the platform itself; it knew no peers, no pauses and no leaving.

Change: one goroutine owns the store, the reader schedule, the table of peers and the pause rule; calls run in goroutines that report back as events. Sync and Leave are served on the peer address by a twirp server that is put together from one interface per part; missing parts return Unimplemented. Requests are signed by an http.RoundTripper. A node that was paused holds requests until a peer, or the platform for every section, has answered a call sent after the pause, and does not vouch for its versions meanwhile. /status shows ages, contacts, rank and hold. Bytes of control connections are counted. The target's health is polled; draining, 503 and the published state leaving make the gate refuse new work. The longest delay between failed calls is 2 s instead of 5 s, so that contact returns within the 5 s targets after a heal.

--- a/coltsfootd/control/control.go
+++ b/coltsfootd/control/control.go
@@ -2,38 +2,131 @@
 
 import (
 	"context"
-	"sync"
+	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/zeebo/errs"
 
 	"coltsfootusher.example/coltsfootd/platform"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/config"
 	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/member"
 	"coltsfootusher.example/core/vm"
+	"coltsfootusher.example/peer/peerpb"
 )
 
-// retryPause is the time between two reads after one failed.
-const retryPause = 200 * time.Millisecond
+// Error is the class of errors of the control loop.
+var Error = errs.Class("control")
 
-// Loop watches the published values and publishes snapshots to the traffic goroutines.
+const (
+	// tickInterval is well below the shortest pause threshold that the settings allow, 200 ms.
+	tickInterval = 50 * time.Millisecond
+	// membersInterval is the time after which facts about peers are evaluated again, because they expire.
+	membersInterval clock.Millis = 1000
+	// noticeCapacity bounds the notices that are kept to be sent on.
+	noticeCapacity = 1024
+	eventQueue     = 64
+)
+
+// Platform reads the published values.
+type Platform interface {
+	Get(ctx context.Context, name fleet.Name) (platform.Value, error)
+	Watch(ctx context.Context, name fleet.Name, after int64, wait clock.Millis) (platform.Value, bool, error)
+}
+
+// Dialer yields the control service of a peer.
+type Dialer interface {
+	To(node, address string) peerpb.Control
+}
+
+// Config are the settings and dependencies of a Loop.
+type Config struct {
+	Node          string
+	FailureDomain string
+	PeerAddress   string
+	Incarnation   uint64
+	// BootstrapPeers are peer addresses by node name.
+	BootstrapPeers   map[string]string
+	WatchWaitMs      clock.Millis
+	StartupTimeoutMs clock.Millis
+	PauseThresholdMs clock.Millis
+	ConfirmTimeoutMs clock.Millis
+
+	Clock    clock.Clock
+	Platform Platform
+	Peers    Dialer
+	Logger   log.Logger
+}
+
+// Loop keeps the published values current. The goroutine in Run owns all state but the atomic pointers; other
+// goroutines send it events.
 type Loop struct {
-	platform *platform.Client
-	wait     clock.Millis
-	logger   log.Logger
+	Config
+	events  chan func(now clock.Millis)
+	stopped chan struct{}
 
 	current atomic.Pointer[fleet.Snapshot]
-	ready   chan struct{}
-	once    sync.Once
-	mu      sync.Mutex
+	state   atomic.Pointer[state]
+
+	store   *config.Store
+	reader  *config.Reader
+	pause   *config.Pause
+	members *member.Table
+
+	calls   map[int64]call
+	waiters map[*waiter]struct{}
+	cursors map[string]cursor
+	// platformSentAt are the times at which the last answered calls to the platform were sent.
+	platformSentAt map[fleet.Name]clock.Millis
+	leaving        bool
+	// news is true when a waiting peer may have something to learn.
+	news bool
+	// membersDue is the time at which facts about peers are evaluated next.
+	membersDue clock.Millis
+	// refused is the newest value of state.refused; it is replaced and never changed.
+	refused map[string]bool
+	// names are the node names of bootstrap peers by address.
+	names map[string]string
 }
 
-// New returns a loop that reads client; a watch waits for wait.
-func New(client *platform.Client, wait clock.Millis, logger log.Logger) *Loop {
-	l := &Loop{platform: client, wait: wait, logger: logger, ready: make(chan struct{})}
-	l.current.Store(&fleet.Snapshot{})
+// state is what traffic goroutines see.
+type state struct {
+	ready bool
+	view  config.View
+	// refused are the nodes that get no new work although the published list shows them as live.
+	refused map[string]bool
+	// changed is closed when a newer state is published.
+	changed chan struct{}
+}
+
+// New returns a loop of a node that has just started.
+func New(c Config) *Loop {
+	now := c.Clock.Now()
+	l := &Loop{
+		Config: c, events: make(chan func(clock.Millis), eventQueue), stopped: make(chan struct{}),
+		store: config.New(), pause: config.NewPause(c.PauseThresholdMs, c.ConfirmTimeoutMs, now),
+		members: member.New(noticeCapacity), calls: make(map[int64]call), waiters: make(map[*waiter]struct{}),
+		cursors: make(map[string]cursor), platformSentAt: make(map[fleet.Name]clock.Millis), names: make(map[string]string),
+	}
+	var addresses []string
+	for name, address := range c.BootstrapPeers {
+		l.names[address] = name
+		addresses = append(addresses, address)
+	}
+	random := rand.New(rand.NewPCG(c.Incarnation, uint64(now)))
+	slices.Sort(addresses)
+	random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	l.reader = config.NewReader(config.ReaderSettings{
+		Node: c.Node, FailureDomain: c.FailureDomain, PeerAddress: c.PeerAddress, BootstrapPeers: addresses,
+		WatchWaitMs: c.WatchWaitMs, StartupTimeoutMs: c.StartupTimeoutMs,
+	}, random, now)
+	l.current.Store(l.store.Snapshot())
+	l.state.Store(&state{view: l.pause.View(), changed: make(chan struct{})})
 	return l
 }
 
@@ -42,72 +135,145 @@
 	return l.current.Load()
 }
 
-// Wait returns when every section was read, or with the context's error.
+// Wait returns when the node is ready and its versions are confirmed after a pause. It returns an error when ctx
+// ends first or the node is not ready within the startup timeout.
 func (l *Loop) Wait(ctx context.Context) error {
-	select {
-	case <-l.ready:
+	s := l.state.Load()
+	if s.serves(l.Clock.Now()) {
 		return nil
-	default:
 	}
-	select {
-	case <-l.ready:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	ctx, cancel := context.WithTimeout(ctx, l.StartupTimeoutMs.Duration())
+	defer cancel()
+	for !s.serves(l.Clock.Now()) {
+		select {
+		case <-s.changed:
+			s = l.state.Load()
+		case <-ctx.Done():
+			return Error.Wrap(ctx.Err())
+		}
 	}
+	return nil
+}
+
+func (s *state) serves(now clock.Millis) bool {
+	return s.ready && !s.view.Held(now)
 }
 
 // MayServe reports whether the node of v gets new work.
 func (l *Loop) MayServe(v vm.VM) bool {
-	return v.State == vm.Live
+	return v.State == vm.Live && !l.state.Load().refused[v.Name]
 }
 
-// Run watches all sections until ctx ends.
+// Run owns the control state until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
-	var group sync.WaitGroup
-	for _, name := range fleet.Names() {
-		group.Go(func() { l.watch(ctx, name) })
+	defer close(l.stopped)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			for _, c := range l.calls {
+				c.cancel()
+			}
+			return
+		case event := <-l.events:
+			l.step(ctx, event)
+		case <-ticker.C:
+			l.step(ctx, nil)
+		}
 	}
-	group.Wait()
 }
 
-func (l *Loop) watch(ctx context.Context, name fleet.Name) {
-	for ctx.Err() == nil {
-		v, changed, err := l.platform.Watch(ctx, name, l.Current().Versions[name], l.wait)
-		if err != nil {
-			_ = level.Warn(l.logger).Log("msg", "platform read failed", "section", name, "err", err)
-			pause(ctx, retryPause)
-			continue
-		}
-		if changed {
-			l.apply(ctx, v)
+// post hands an event to the owner of the state; it returns false if ctx or the loop ended first.
+func (l *Loop) post(ctx context.Context, event func(now clock.Millis)) bool {
+	select {
+	case l.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.stopped:
+		return false
+	}
+}
+
+func (l *Loop) step(ctx context.Context, event func(now clock.Millis)) {
+	now := l.Clock.Now()
+	if l.pause.Tick(now) {
+		l.resume(now)
+	}
+	if event != nil {
+		event(now)
+	}
+	if now >= l.membersDue {
+		l.news = true
+	}
+	if l.news {
+		l.evaluateMembers(now)
+	}
+	l.reader.Ready(l.store.Snapshot().Complete(), now)
+	for _, action := range l.reader.Next(now) {
+		l.start(ctx, action, now)
+	}
+	l.answerWaiters(now)
+	l.publish(now)
+}
+
+// resume gives up the calls from before a pause and asks again, because their answers may be as old as the pause.
+func (l *Loop) resume(now clock.Millis) {
+	_ = level.Warn(l.Logger).Log("msg", "process was paused, requests wait until versions are confirmed",
+		"pauses", l.pause.Count())
+	for id, c := range l.calls {
+		if c.kind != config.ReadPlatform {
+			c.cancel()
+			delete(l.calls, id)
 		}
 	}
+	l.reader.Hurry(now)
 }
 
-func (l *Loop) apply(ctx context.Context, v platform.Value) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if v.Version <= l.Current().Versions[v.Name] {
-		return
+// evaluateMembers derives which nodes get no new work, and adapts the schedule to it.
+func (l *Loop) evaluateMembers(now clock.Millis) {
+	l.members.Prune(now)
+	l.membersDue = now + membersInterval
+	snapshot := l.store.Snapshot()
+	l.reader.SetFleet(snapshot, func(name string) bool { return l.members.Leaving(name, now) }, now)
+	l.refused = make(map[string]bool)
+	for _, v := range snapshot.VMs.VMs {
+		if l.members.Refuses(v, now) == member.NoticedLeaving {
+			l.refused[v.Name] = true
+		}
 	}
-	next, err := l.Current().With(v.Name, v.Version, v.Value)
-	if err != nil {
-		_ = level.Error(l.logger).Log("msg", "published value rejected, the last valid one stays in force",
-			"section", v.Name, "version", v.Version, "err", err)
-		pause(ctx, retryPause)
-		return
+}
+
+func (l *Loop) publish(now clock.Millis) {
+	snapshot := l.store.Snapshot()
+	l.current.Store(snapshot)
+	old := l.state.Load()
+	next := &state{
+		ready: l.reader.Ready(snapshot.Complete(), now), view: l.pause.View(), refused: l.refused,
+		changed: make(chan struct{}),
 	}
-	l.current.Store(next)
-	_ = level.Info(l.logger).Log("msg", "published value in force", "section", v.Name, "version", v.Version)
-	if next.Complete() {
-		l.once.Do(func() { close(l.ready) })
+	if next.ready && !old.ready {
+		_ = level.Info(l.Logger).Log("msg", "versions are confirmed, the node serves", "rank", l.reader.Rank())
 	}
+	l.state.Store(next)
+	close(old.changed)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// applied logs what became of offered versions and reports whether one came into force.
+func (l *Loop) applied(results []config.Result) bool {
+	changed := false
+	for _, r := range results {
+		switch {
+		case r.Outcome == config.Applied:
+			changed = true
+			_ = level.Info(l.Logger).Log("msg", "published value in force", "section", r.Name, "version", r.Version,
+				"before", r.Before, "source", r.Source)
+		case r.Err != nil && !r.Repeated:
+			_ = level.Error(l.Logger).Log("msg", "published value rejected, the last valid one stays in force",
+				"section", r.Name, "version", r.Version, "source", r.Source, "outcome", r.Outcome, "err", r.Err)
+		}
 	}
+	l.news = l.news || changed
+	return changed
 }
--- a/coltsfootd/control/doc.go
+++ b/coltsfootd/control/doc.go
@@ -1,2 +1,3 @@
-// Package control keeps the node's view of the published values and of its peers.
+// Package control keeps the published values of a node current: it watches the platform, synchronizes with peers,
+// and knows which peers are leaving.
 package control
--- /dev/null
+++ b/coltsfootd/control/sync.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"coltsfootusher.example/coltsfootd/peerserver"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/config"
+	"coltsfootusher.example/core/member"
+	"coltsfootusher.example/peer/peerpb"
+)
+
+// maxWaitMs is the longest time for which a call of a peer waits for news.
+const maxWaitMs clock.Millis = 60_000
+
+// waiter is a call Sync of a peer.
+type waiter struct {
+	versions []config.Version
+	cursor   int64
+	deadline clock.Millis
+	reply    chan *peerpb.SyncReply
+}
+
+// Sync returns what is newer than the versions in the request, and waits for it if nothing is.
+func (l *Loop) Sync(ctx context.Context, r *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	if err := checkSender(ctx, r.Node); err != nil {
+		return nil, err
+	}
+	w := &waiter{versions: decodeVersions(r.Versions), cursor: r.Cursor, reply: make(chan *peerpb.SyncReply, 1)}
+	if !l.post(ctx, func(now clock.Millis) { l.receive(w, r, now) }) {
+		return nil, twirp.NewError(twirp.Unavailable, "the node stops")
+	}
+	select {
+	case reply := <-w.reply:
+		if reply == nil {
+			return nil, twirp.NewError(twirp.Unavailable, "the node was paused and has not confirmed its versions")
+		}
+		return reply, nil
+	case <-ctx.Done():
+		l.post(context.WithoutCancel(ctx), func(clock.Millis) { delete(l.waiters, w) })
+		return nil, twirp.NewError(twirp.Canceled, "the peer has gone")
+	case <-l.stopped:
+		return nil, twirp.NewError(twirp.Unavailable, "the node stops")
+	}
+}
+
+// checkSender refuses a request that names another node than the one that signed it.
+func checkSender(ctx context.Context, node string) error {
+	if sender := peerserver.Sender(ctx); sender != node {
+		return twirp.NewErrorf(twirp.PermissionDenied, "node %q sent a request of node %q", sender, node)
+	}
+	return nil
+}
+
+func (l *Loop) receive(w *waiter, r *peerpb.SyncRequest, now clock.Millis) {
+	l.members.Contact(member.Notice{Node: r.Node, Incarnation: r.Incarnation}, now, now)
+	l.receiveNotices(r.Notices, now)
+	w.deadline = now + min(maxWaitMs, max(0, clock.Millis(r.WaitMs)))
+	if l.pause.View().Held(now) {
+		// A node that was paused itself cannot vouch for its versions.
+		w.reply <- nil
+		return
+	}
+	l.waiters[w] = struct{}{}
+	l.answerIfDue(w, now, true)
+}
+
+func (l *Loop) answerWaiters(now clock.Millis) {
+	for w := range l.waiters {
+		l.answerIfDue(w, now, l.news)
+	}
+	l.news = false
+}
+
+// answerIfDue replies when there is news for the peer, its time is over or this node is leaving, whose long polls
+// must not hold up the stop. look is false when nothing can be new.
+func (l *Loop) answerIfDue(w *waiter, now clock.Millis, look bool) {
+	due := l.leaving || now >= w.deadline
+	if !due && !look {
+		return
+	}
+	updates := l.store.UpdatesFor(w.versions)
+	notices, next := l.members.Since(w.cursor, noticesPerReply, now)
+	if !due && len(updates) == 0 && len(notices) == 0 {
+		return
+	}
+	delete(l.waiters, w)
+	w.reply <- &peerpb.SyncReply{
+		Node: l.Node, Incarnation: l.Incarnation, Versions: encodeVersions(l.store.Versions(now)),
+		Updates: encodeUpdates(updates), Notices: encodeNotices(notices), Cursor: next,
+	}
+}
--- /dev/null
+++ b/coltsfootd/health/doc.go
@@ -0,0 +1,2 @@
+// Package health polls the health endpoint of the local target.
+package health
--- /dev/null
+++ b/coltsfootd/health/health.go
@@ -0,0 +1,106 @@
+package health
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"coltsfootusher.example/coltsfootd/transport"
+	"coltsfootusher.example/core/clock"
+)
+
+const (
+	maxBodyBytes   = 4 << 10
+	statusDraining = "draining"
+	// minTimeout bounds the wait for an answer from below, so that a busy target has time to give one.
+	minTimeout = time.Second
+)
+
+// Listener learns what the polls show.
+type Listener interface {
+	// TargetDraining says whether the target takes no new work.
+	TargetDraining(draining bool)
+	// TargetStarted says that the target refused connections and answers again.
+	TargetStarted()
+}
+
+// Poller polls the health endpoint. The endpoint is a weak hint: it may lag or be misleading, so a target that
+// does not answer it is never considered dead, and only its own statement that it drains has an effect.
+type Poller struct {
+	url      string
+	interval time.Duration
+	client   *http.Client
+	listener Listener
+	refused  bool
+	draining bool
+}
+
+// New returns a poller of the path at the target's address.
+func New(address, path string, interval clock.Millis, listener Listener) *Poller {
+	return &Poller{
+		url: "http://" + address + path, interval: interval.Duration(), listener: listener,
+		client: &http.Client{
+			Transport: transport.New(netip.Addr{}, 1, 1), Timeout: max(minTimeout, interval.Duration()),
+		},
+	}
+}
+
+// Run polls until ctx ends.
+func (p *Poller) Run(ctx context.Context) {
+	ticker := time.NewTicker(p.interval)
+	defer ticker.Stop()
+	for {
+		p.observe(p.poll(ctx))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// poll returns whether the endpoint says that the target drains, or an error if it says nothing.
+func (p *Poller) poll(ctx context.Context) (bool, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url, nil)
+	if err != nil {
+		return false, err
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return false, err
+	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		return true, nil
+	}
+	var report struct {
+		Status string `json:"status"`
+	}
+	// Targets may answer in another form; then only the status code counts.
+	_ = json.Unmarshal(data, &report)
+	return report.Status == statusDraining, nil
+}
+
+func (p *Poller) observe(draining bool, err error) {
+	if err != nil {
+		p.refused = p.refused || errors.Is(err, syscall.ECONNREFUSED)
+		return
+	}
+	if p.refused {
+		p.refused = false
+		p.listener.TargetStarted()
+	}
+	if draining != p.draining {
+		p.draining = draining
+		p.listener.TargetDraining(draining)
+	}
+}
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -18,16 +18,18 @@
 
 	"coltsfootusher.example/coltsfootd/control"
 	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/drain"
 	"coltsfootusher.example/coltsfootd/egress"
 	"coltsfootusher.example/coltsfootd/entry"
 	"coltsfootusher.example/coltsfootd/gateway"
+	"coltsfootusher.example/coltsfootd/health"
 	"coltsfootusher.example/coltsfootd/inflight"
 	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/coltsfootd/operations"
 	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/coltsfootd/passage"
+	"coltsfootusher.example/coltsfootd/peerclient"
 	"coltsfootusher.example/coltsfootd/peerserver"
-	"coltsfootusher.example/coltsfootd/platform"
 	"coltsfootusher.example/coltsfootd/setting"
 	"coltsfootusher.example/coltsfootd/transport"
 	"coltsfootusher.example/core/balance"
@@ -44,7 +46,6 @@
 const (
 	recentDecisions    = 4096
 	peerIdleConns      = 64
-	platformIdleConns  = 8
 	readHeaderTimeout  = 10 * time.Second
 	idleTimeout        = 2 * time.Minute
 	reconfigureEvery   = 50 * time.Millisecond
@@ -61,6 +62,10 @@
 	leaving     atomic.Bool
 
 	control   *control.Loop
+	meter     *transport.Meter
+	peers     *peerclient.Client
+	drainage  *drainage
+	health    *health.Poller
 	admission *gateway.Admission
 	inFlight  *inflight.Table
 	recorder  *decision.Recorder
@@ -74,9 +79,11 @@
 type server struct {
 	name     string
 	listener net.Listener
-	http     *http.Server
+	http     *drain.Server
 }
 
+const operatorServer = "operator"
+
 // New builds a node and opens its listeners; logs go to logs.
 func New(s setting.Settings, logs io.Writer) (*Node, error) {
 	n := &Node{
@@ -96,9 +103,11 @@
 	}
 	metrics := expvar.NewMap("coltsfootd")
 	n.recorder = decision.New(n.logger, metrics, recentDecisions, s.LogSamplePerSecond)
-	client := platform.New(s.PlatformAddress, s.NodeName, transport.New(s.SourceAddress(), 0, platformIdleConns))
-	n.control = control.New(client, s.WatchWaitMs, logging.Part(n.logger, "control"))
+	if err := n.buildControl(signer, metrics); err != nil {
+		return nil, err
+	}
 	n.buildTraffic(signer, metrics)
+	n.health = health.New(s.TargetAddress, s.TargetHealthPath, s.TargetHealthIntervalMs, n)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -109,6 +118,7 @@
 func (n *Node) buildTraffic(signer *auth.Signer, metrics *expvar.Map) {
 	s := n.settings
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
+	n.drainage = &drainage{admission: n.admission, reasons: make(map[string]bool)}
 	ops := operations.New()
 	g := gateway.New(gateway.Config{
 		Node: s.NodeName, Incarnation: n.incarnation, Service: s.Service, Clock: n.clock, Snapshots: n.control,
@@ -129,16 +139,16 @@
 		Operations: ops, Sender: sender, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes,
 	})
 	n.servers = []*server{
-		{name: "entry", http: newServer(n.entry, s.MaxHeaderBytes)},
-		{name: "peer", http: newServer(peerserver.New(peerserver.Config{
-			Signer: signer, Gateway: g, Control: http.NotFoundHandler(), MaxBody: maxPeerMessageSize,
-			Logger: logging.Part(n.logger, "peer"), Metrics: metrics,
-		}), s.MaxHeaderBytes)},
-		{name: "egress", http: newServer(egress.New(egress.Config{
+		newDrainServer("entry", newServer(n.entry, s.MaxHeaderBytes)),
+		newDrainServer("peer", newServer(peerserver.New(peerserver.Config{
+			Signer: signer, Gateway: g, Control: peerserver.NewControl(peerserver.Parts{Synchronizer: n.control}),
+			MaxBody: maxPeerMessageSize, Logger: logging.Part(n.logger, "peer"), Metrics: metrics,
+		}), s.MaxHeaderBytes)),
+		newDrainServer("egress", newServer(egress.New(egress.Config{
 			Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Operations: ops, Sender: sender,
 			InFlight: n.inFlight, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes,
-		}), s.MaxHeaderBytes)},
-		{name: "operator", http: newServer(operator.Handler(n.status, n.recorder), s.MaxHeaderBytes)},
+		}), s.MaxHeaderBytes)),
+		newDrainServer(operatorServer, newServer(operator.Handler(n.status, n.recorder), s.MaxHeaderBytes)),
 	}
 }
 
@@ -158,7 +168,7 @@
 		if err != nil {
 			return Error.New("%sAddress: %v", srv.name, err)
 		}
-		srv.listener = listener
+		srv.listener = n.meter.Listener(listener)
 	}
 	return nil
 }
@@ -179,6 +189,7 @@
 	go n.control.Run(background)
 	go n.admission.Run(background)
 	go n.configure(background)
+	go n.health.Run(background)
 	failed := make(chan error, len(n.servers))
 	line := "listening"
 	for _, srv := range n.servers {
@@ -201,24 +212,6 @@
 	}
 }
 
-// shutdown refuses new work, finishes what runs and closes the servers; entry first, so that callers' requests that
-// are still in flight can use the rest.
-func (n *Node) shutdown() error {
-	_ = level.Info(n.logger).Log("part", "node", "msg", "shutdown started")
-	n.leaving.Store(true)
-	n.entry.SetLeaving()
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeoutMs.Duration())
-	defer cancel()
-	var failures errs.Group
-	for _, srv := range n.servers {
-		if err := srv.http.Shutdown(ctx); err != nil {
-			failures.Add(Error.New("%s: requests were cut after drainTimeoutMs: %v", srv.name, err))
-		}
-	}
-	_ = level.Info(n.logger).Log("part", "node", "msg", "shutdown finished")
-	return failures.Err()
-}
-
 // configure applies the preset and the size of the service to the gate, the balancer and the retry budget.
 func (n *Node) configure(ctx context.Context) {
 	ticker := time.NewTicker(reconfigureEvery)
@@ -241,15 +234,7 @@
 	p := snapshot.Presets.InForce()
 	svc, _ := snapshot.Service(n.settings.Service)
 	n.admission.Update(gateway.Configure(svc, p))
+	n.followPublishedState(snapshot)
 	n.balancer.SetRoundRobin(p.Policy == preset.Off)
 	n.budget.Configure(p.RetryBudgetPercent, minRetriesPerSec)
 }
-
-func (n *Node) status() operator.Status {
-	snapshot := n.control.Current()
-	return operator.Status{
-		Node: n.settings.NodeName, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain,
-		Service: n.settings.Service, Leaving: n.leaving.Load(), Ready: snapshot.Complete(),
-		ActivePreset: snapshot.Presets.Active, Versions: snapshot.Versions, Load: n.admission.Load(), InFlight: n.inFlight.Len(),
-	}
-}
--- a/coltsfootd/operator/operator.go
+++ b/coltsfootd/operator/operator.go
@@ -8,6 +8,7 @@
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/config"
 	"coltsfootusher.example/core/fleet"
 )
 
@@ -18,8 +19,16 @@
 	FailureDomain string `json:"failureDomain"`
 	Service       string `json:"service"`
 	Leaving       bool   `json:"leaving"`
-	Ready         bool   `json:"ready"`
-	ActivePreset  string `json:"activePreset"`
+	// LeavingReasons say why the gate refuses new work.
+	LeavingReasons []string `json:"leavingReasons,omitempty"`
+	Ready          bool     `json:"ready"`
+	// Held is true while requests wait because the process was paused and has not confirmed its versions.
+	Held bool `json:"held"`
+	// Pauses is the number of pauses since the start.
+	Pauses int64 `json:"pauses"`
+	// WatcherRank is the rank among the nodes of the failure domain that watch the platform, or -1.
+	WatcherRank  int    `json:"watcherRank"`
+	ActivePreset string `json:"activePreset"`
 	// Versions are the versions of the sections in force.
 	Versions map[fleet.Name]int64 `json:"versions"`
 	// AgesMs are the times since the sections were last confirmed as current.
@@ -29,6 +38,12 @@
 	InFlight int `json:"inFlight"`
 	// LastContactMs are the times since the platform and each peer last answered.
 	LastContactMs map[string]clock.Millis `json:"lastContactMs,omitempty"`
+	// LeavingPeers are the nodes that said that they take no new work.
+	LeavingPeers []string `json:"leavingPeers,omitempty"`
+	// Sections describe the published values in force and those that were not applied.
+	Sections []config.Status `json:"sections,omitempty"`
+	// ControlError is set when the control loop did not answer; the fields that it knows are missing then.
+	ControlError string `json:"controlError,omitempty"`
 }
 
 // Handler returns the handler of the operators' address.
--- a/coltsfootd/passage/client.go
+++ b/coltsfootd/passage/client.go
@@ -41,6 +41,11 @@
 		defer cancel()
 		return failure(ctx, c, err)
 	}
+	if crossedStop(response) {
+		_ = response.Body.Close()
+		cancel()
+		return giveBack(answer.Refuse(call.ReasonLeaving), c)
+	}
 	a, err := cl.read(response)
 	if err != nil {
 		defer cancel()
@@ -70,6 +75,13 @@
 	return request, cl.signer.Sign(request, v.Name, body)
 }
 
+// crossedStop reports the refusal with which a stopping node ends an idle connection; a call that crossed with it
+// was not handled. All other responses of nodes carry a result.
+func crossedStop(response *http.Response) bool {
+	return response.StatusCode == http.StatusRequestTimeout && response.Header.Get(envelope.ResultHeader) == "" &&
+		response.Header.Get(answer.ReasonHeader) == string(call.ReasonLeaving)
+}
+
 var errNotANode = errors.New("the response carries no result")
 
 func (cl *Client) read(response *http.Response) (answer.Answer, error) {
--- /dev/null
+++ b/coltsfootd/peerclient/doc.go
@@ -0,0 +1,2 @@
+// Package peerclient makes signed control calls to peer nodes.
+package peerclient
--- /dev/null
+++ b/coltsfootd/peerclient/peerclient.go
@@ -0,0 +1,27 @@
+package peerclient
+
+import (
+	"net/http"
+
+	"coltsfootusher.example/peer/auth"
+	"coltsfootusher.example/peer/peerpb"
+)
+
+// Client makes clients of the twirp service of peers.
+type Client struct {
+	signer    *auth.Signer
+	transport http.RoundTripper
+}
+
+// New returns a client that signs with signer and sends over transport.
+func New(signer *auth.Signer, transport http.RoundTripper) *Client {
+	return &Client{signer: signer, transport: transport}
+}
+
+// To returns the control service of the node with the name at the peer address. Making one costs little;
+// connections belong to the shared transport.
+func (c *Client) To(node, address string) peerpb.Control {
+	return peerpb.NewControlProtobufClient("http://"+address, &http.Client{
+		Transport: auth.Transport{Signer: c.signer, Receiver: node, Base: c.transport},
+	})
+}
--- /dev/null
+++ b/coltsfootd/peerserver/control.go
@@ -0,0 +1,99 @@
+package peerserver
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"coltsfootusher.example/coltsfootd/transport"
+	"coltsfootusher.example/peer/peerpb"
+)
+
+// Synchronizer exchanges versions and notices with peers.
+type Synchronizer interface {
+	Sync(ctx context.Context, r *peerpb.SyncRequest) (*peerpb.SyncReply, error)
+	Leave(ctx context.Context, r *peerpb.LeaveRequest) (*peerpb.LeaveReply, error)
+}
+
+// Minter leases tokens to peers and releases seats.
+type Minter interface {
+	Draw(ctx context.Context, r *peerpb.DrawRequest) (*peerpb.DrawReply, error)
+	ReturnTokens(ctx context.Context, r *peerpb.ReturnTokensRequest) (*peerpb.ReturnTokensReply, error)
+	ReleaseSeat(ctx context.Context, r *peerpb.ReleaseSeatRequest) (*peerpb.ReleaseSeatReply, error)
+}
+
+// Operations keeps the outcomes of once-only operations.
+type Operations interface {
+	IssueOperation(ctx context.Context, r *peerpb.IssueOperationRequest) (*peerpb.IssueOperationReply, error)
+	Outcome(ctx context.Context, r *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error)
+	SealOperation(ctx context.Context, r *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error)
+	Handover(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
+}
+
+// Parts implement the twirp service together. The methods of a part that is nil return Unimplemented.
+type Parts struct {
+	Synchronizer
+	Minter
+	Operations
+}
+
+// NewControl returns the handler of the twirp service.
+func NewControl(parts Parts) http.Handler {
+	if parts.Synchronizer == nil {
+		parts.Synchronizer = unimplemented{}
+	}
+	if parts.Minter == nil {
+		parts.Minter = unimplemented{}
+	}
+	if parts.Operations == nil {
+		parts.Operations = unimplemented{}
+	}
+	server := peerpb.NewControlServer(parts)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		transport.MarkControl(r.Context())
+		server.ServeHTTP(w, r)
+	})
+}
+
+type unimplemented struct{}
+
+func missing(method string) error {
+	return twirp.NewErrorf(twirp.Unimplemented, "%s is not served by this node", method)
+}
+
+func (unimplemented) Sync(context.Context, *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	return nil, missing("Sync")
+}
+
+func (unimplemented) Leave(context.Context, *peerpb.LeaveRequest) (*peerpb.LeaveReply, error) {
+	return nil, missing("Leave")
+}
+
+func (unimplemented) Draw(context.Context, *peerpb.DrawRequest) (*peerpb.DrawReply, error) {
+	return nil, missing("Draw")
+}
+
+func (unimplemented) ReturnTokens(context.Context, *peerpb.ReturnTokensRequest) (*peerpb.ReturnTokensReply, error) {
+	return nil, missing("ReturnTokens")
+}
+
+func (unimplemented) ReleaseSeat(context.Context, *peerpb.ReleaseSeatRequest) (*peerpb.ReleaseSeatReply, error) {
+	return nil, missing("ReleaseSeat")
+}
+
+func (unimplemented) IssueOperation(context.Context, *peerpb.IssueOperationRequest) (*peerpb.IssueOperationReply, error) {
+	return nil, missing("IssueOperation")
+}
+
+func (unimplemented) Outcome(context.Context, *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
+	return nil, missing("Outcome")
+}
+
+func (unimplemented) SealOperation(context.Context, *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
+	return nil, missing("SealOperation")
+}
+
+func (unimplemented) Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	return nil, missing("Handover")
+}
--- a/core/config/reader.go
+++ b/core/config/reader.go
@@ -18,9 +18,10 @@
 	minReadIntervalMs clock.Millis = 5000
 	// minGapMs spaces calls that bring no news, for example to a replica that answers watches at once.
 	minGapMs clock.Millis = 1000
-	// retryBaseMs and retryMaxMs bound the exponential delay after failures.
+	// retryBaseMs and retryMaxMs bound the exponential delay after failures. The maximum leaves time for the call
+	// itself within the 5 s in which a change is to be in force after contact returns.
 	retryBaseMs clock.Millis = 200
-	retryMaxMs  clock.Millis = 5000
+	retryMaxMs  clock.Millis = 2000
 	// callTimeoutMs is the time beyond its wait after which a call counts as failed.
 	callTimeoutMs clock.Millis = 3000
 	// homeMs is the time after which a node returns to its preferred peer.
