--- a/coltsfootd/node/operations.go
+++ b/coltsfootd/node/operations.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/go-kit/log/level"
-	"github.com/twitchtv/twirp"
 
+	"coltsfootusher.example/coltsfootd/control"
 	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/coltsfootd/operations"
-	"coltsfootusher.example/coltsfootd/peerclient"
+	"coltsfootusher.example/coltsfootd/peerserver"
 	"coltsfootusher.example/coltsfootd/suspect"
-	"coltsfootusher.example/coltsfootd/transport"
 	"coltsfootusher.example/core/operation"
-	"coltsfootusher.example/peer/auth"
 	"coltsfootusher.example/peer/peerpb"
 )
 
@@ -21,13 +18,12 @@
 const maxOperationWaiters = 64
 
 // buildOperations makes the node's part in once-only operations.
-func (n *Node) buildOperations(secret []byte, signer *auth.Signer) error {
+func (n *Node) buildOperations(secret []byte) error {
 	s := n.settings
 	codec, err := operation.NewCodec(secret)
 	if err != nil {
 		return err
 	}
-	n.peers = peerclient.New(signer, transport.New(s.SourceAddress(), 0, peerIdleConns))
 	n.seats = operations.NewListSeats(s.NodeName, s.SeatFenceMs, n.control)
 	n.operations = operations.New(operations.Config{
 		Node: s.NodeName, FailureDomain: s.FailureDomain, Service: s.Service, Incarnation: n.incarnation, Clock: n.clock,
@@ -55,60 +51,25 @@
 	return nil
 }
 
-// controlServer serves the control calls of peers.
-type controlServer struct {
-	unserved
-	operations *operations.Service
-	suspects   *suspect.Guard
-}
-
-func (n *Node) controlHandler() http.Handler {
-	return peerpb.NewControlServer(controlServer{operations: n.operations, suspects: n.suspects})
-}
-
-// IssueOperation issues an id.
-func (c controlServer) IssueOperation(
-	ctx context.Context, r *peerpb.IssueOperationRequest,
-) (*peerpb.IssueOperationReply, error) {
-	return c.operations.IssueOperation(ctx, r)
-}
-
-// Outcome reports an outcome.
-func (c controlServer) Outcome(ctx context.Context, r *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
-	return c.operations.Outcome(ctx, r)
-}
-
-// SealOperation seals an operation.
-func (c controlServer) SealOperation(ctx context.Context, r *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
-	return c.operations.SealOperation(ctx, r)
-}
-
-// Handover takes part of an operation table.
-func (c controlServer) Handover(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
-	return c.operations.Handover(ctx, r)
-}
-
-// unserved answers the control calls that this node does not serve.
-type unserved struct{}
-
-var errUnserved = twirp.NewError(twirp.Unimplemented, "this node does not serve the call")
-
-// Draw is not served.
-func (unserved) Draw(context.Context, *peerpb.DrawRequest) (*peerpb.DrawReply, error) {
-	return nil, errUnserved
-}
-
-// ReturnTokens is not served.
-func (unserved) ReturnTokens(context.Context, *peerpb.ReturnTokensRequest) (*peerpb.ReturnTokensReply, error) {
-	return nil, errUnserved
+// controlParts are the parts of the twirp service that this node serves.
+func (n *Node) controlParts() peerserver.Parts {
+	return peerserver.Parts{
+		Synchronizer: synchronizer{Loop: n.control, suspects: n.suspects},
+		Operations:   n.operations,
+	}
 }
 
-// ReleaseSeat is not served.
-func (unserved) ReleaseSeat(context.Context, *peerpb.ReleaseSeatRequest) (*peerpb.ReleaseSeatReply, error) {
-	return nil, errUnserved
+// synchronizer passes notices about requests to the guard and everything else to the control loop.
+type synchronizer struct {
+	*control.Loop
+	suspects *suspect.Guard
 }
 
-// Leave is not served.
-func (unserved) Leave(context.Context, *peerpb.LeaveRequest) (*peerpb.LeaveReply, error) {
-	return nil, errUnserved
+// Sync takes the notices about requests; a message without versions carries nothing else.
+func (s synchronizer) Sync(ctx context.Context, r *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	s.suspects.Merge(decodeNotices(r.Notices))
+	if len(r.Versions) == 0 && len(r.Notices) > 0 {
+		return &peerpb.SyncReply{}, nil
+	}
+	return s.Loop.Sync(ctx, r)
 }
--- a/coltsfootd/peerclient/doc.go
+++ b/coltsfootd/peerclient/doc.go
@@ -1,2 +1,2 @@
-// Package peerclient makes signed control calls to the nodes of other VMs.
+// Package peerclient makes signed control calls to peer nodes.
 package peerclient
