--- a/standin/caller/call.go
+++ b/standin/caller/call.go
@@ -52,7 +52,7 @@
 	}
 	var attempts []Attempt
 	for number := 0; number <= c.load.settings.Retries; number++ {
-		a := c.attempt(ctx, c.load.entry(c.first+number))
+		a := c.attempt(ctx, c.load.entry(c, number))
 		attempts = append(attempts, a)
 		if !c.retries(a) {
 			break
@@ -92,7 +92,7 @@
 		defer func() { c.issueTime = time.Since(begin) }()
 		var last Attempt
 		for number := 0; number <= c.load.settings.Retries; number++ {
-			last = c.issue(ctx, c.load.entry(c.first+number))
+			last = c.issue(ctx, c.load.entry(c, number))
 			if c.id != "" {
 				return nil
 			}
@@ -156,7 +156,7 @@
 	s := c.load.settings
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.TimeoutMs)*time.Millisecond)
 	defer cancel()
-	a := Attempt{Entry: entry}
+	a := Attempt{Entry: entry, Sent: time.Now()}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, strings.NewReader(body))
 	if err != nil {
 		a.Verdict = Broken
@@ -180,7 +180,7 @@
 	}
 	data := c.receive(request, &a)
 	if !wait(ctx, delay) {
-		return Attempt{Entry: entry, Verdict: TimedOut}, nil
+		return Attempt{Entry: entry, Verdict: TimedOut, Sent: a.Sent}, nil
 	}
 	return a, data
 }
--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -18,6 +18,7 @@
 	due      atomic.Int64
 	inFlight chan struct{}
 	calls    sync.WaitGroup
+	onEnd    func(Ended)
 
 	mu      sync.Mutex
 	factors map[string]float64
@@ -43,6 +44,11 @@
 	}, nil
 }
 
+// OnEnd sets the function that is called at the end of each root call, by several goroutines. It must be set before Run.
+func (l *Load) OnEnd(observe func(Ended)) {
+	l.onEnd = observe
+}
+
 // SetFactor multiplies the account's rate from its next arrival on; an empty account means all accounts. Both
 // factors apply together.
 func (l *Load) SetFactor(account string, factor float64) error {
@@ -168,11 +174,15 @@
 	return l.settings.Routes[len(l.settings.Routes)-1]
 }
 
-// entry returns the address for an attempt; successive attempts go to different entries.
-func (l *Load) entry(number int) string {
+// entry returns the address for an attempt; successive attempts go to different entries. The first attempt goes to
+// the account's own entry if it has one.
+func (l *Load) entry(c *rootCall, attempt int) string {
+	if attempt == 0 && c.account.Entry != "" {
+		return c.account.Entry
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.entries[number%len(l.entries)]
+	return l.entries[(c.first+attempt)%len(l.entries)]
 }
 
 func (l *Load) countDue(c *rootCall) {
@@ -189,6 +199,12 @@
 func (l *Load) countEnd(c *rootCall, attempts []Attempt, sent int) {
 	now := time.Now()
 	last := attempts[len(attempts)-1]
+	if l.onEnd != nil {
+		l.onEnd(Ended{
+			Account: c.account.ID, Route: c.route, Token: c.token, Arrival: c.arrival, At: now, Verdict: last.Verdict,
+			Attempts: attempts,
+		})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.result.Total.countEnd(last, sent, now.Sub(l.start))
--- a/standin/caller/result.go
+++ b/standin/caller/result.go
@@ -64,6 +64,20 @@
 	Reason  string  `json:"reason,omitempty"`
 	// Outcome is the header Operation-Outcome.
 	Outcome string `json:"outcome,omitempty"`
+	// Sent is the time at which the caller began the attempt.
+	Sent time.Time `json:"-"`
+}
+
+// Ended is a root call that has ended.
+type Ended struct {
+	Account string
+	Route   Route
+	Token   string
+	// Arrival is the planned time of the call, At the time of its end.
+	Arrival, At time.Time
+	// Verdict is that of the last attempt.
+	Verdict  Verdict
+	Attempts []Attempt
 }
 
 // Operation is the record of one once-only operation.
--- a/standin/caller/setting.go
+++ b/standin/caller/setting.go
@@ -41,6 +41,8 @@
 	ID            string  `yaml:"id"`
 	Key           string  `yaml:"key"`
 	RatePerSecond float64 `yaml:"ratePerSecond"`
+	// Entry gets the first attempt of each call of the account; empty means that it is chosen at random.
+	Entry string `yaml:"entry,omitempty"`
 }
 
 // Settings are the settings of a load; durations are in milliseconds.
--- a/standin/launch/launch.go
+++ b/standin/launch/launch.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -84,6 +85,7 @@
 	platformServer *server.Server
 	platformLink   *link.Link
 	links          []*link.Link
+	stopped        sync.Once
 }
 
 // Start launches the fleet; on error everything that was started is stopped.
@@ -196,6 +198,20 @@
 	return nil
 }
 
+// LinkTo adds a link in front of an address of the VM and returns the link's address.
+func (f *Fleet) LinkTo(v *VM, address string) (string, error) {
+	host, _, err := net.SplitHostPort(v.Peer)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	l, err := link.New(f.Network, net.JoinHostPort(host, "0"), address, v.FailureDomain)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	f.links = append(f.links, l)
+	return l.Address(), nil
+}
+
 // freeAddresses fills in addresses with free ports; all are held open until each has one, so that they differ.
 func freeAddresses(ip string, addresses []*string) error {
 	for _, address := range addresses {
@@ -338,8 +354,12 @@
 	return all, nil
 }
 
-// Stop ends all processes and links.
+// Stop ends all processes and links; further calls do nothing.
 func (f *Fleet) Stop() {
+	f.stopped.Do(f.stop)
+}
+
+func (f *Fleet) stop() {
 	_ = f.each(func(v *VM) error {
 		if v.Node != nil {
 			v.Node.Kill()
--- a/standin/target/answer.go
+++ b/standin/target/answer.go
@@ -78,6 +78,8 @@
 	TruncatedChunked Fault = "truncatedChunked"
 	// Crossed sends the answer of an earlier request with that request's id.
 	Crossed Fault = "crossed"
+	// Instant takes a slot but skips the service time and the inner calls, so that only the path to the target counts.
+	Instant Fault = "instant"
 	// Duplicated sends the answer twice on the connection.
 	Duplicated Fault = "duplicated"
 )
--- a/standin/target/execution.go
+++ b/standin/target/execution.go
@@ -75,6 +75,9 @@
 	if x.fault == Crash {
 		x.target.exit(crashStatus)
 	}
+	if x.fault == Instant {
+		return x.answer(nil, 0), http.StatusOK
+	}
 	wait := x.target.serviceTime()
 	if x.fault == Late {
 		wait += time.Duration(x.target.settings.LateMs) * time.Millisecond
@@ -90,6 +93,10 @@
 	if !ok {
 		return Answer{}, http.StatusBadGateway
 	}
+	return x.answer(inner, len(plan.Calls)), http.StatusOK
+}
+
+func (x *execution) answer(inner []Answer, planned int) Answer {
 	return Answer{
 		Service:  x.target.settings.Service,
 		Target:   x.target.settings.Name,
@@ -97,9 +104,9 @@
 		Path:     x.request.URL.RequestURI(),
 		Token:    x.token(),
 		BodyHash: HashBody(x.body),
-		Planned:  len(plan.Calls),
+		Planned:  planned,
 		Inner:    inner,
-	}, http.StatusOK
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
