Test that retries are bounded along the chain

Cause: no test with real processes showed R1, the bound of the retries over a whole call chain. Change: an integration test sends calls three deep whose deepest service is slow and breaks off each answer, with callers that send failed calls again at once to other entries, and counts the executions of each root call at each level in the targets' journals against the published allowance of two retries. Conclusion: R1 holds in this scenario.

--- /dev/null
+++ b/integration/overload_test.go
@@ -0,0 +1,142 @@
+package integration_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/preset"
+	"coltsfootusher.example/standin/journal"
+	"coltsfootusher.example/standin/launch"
+	"coltsfootusher.example/standin/target"
+)
+
+const (
+	overloadSeed      = 3
+	overloadAllowance = 2
+	failingCalls      = 60
+	healthyPerFailing = 4
+	callerRetries     = 3
+	senders           = 12
+)
+
+// overloadFleet starts the profile with the allowance and a retry budget that never binds before the allowance.
+func overloadFleet(t *testing.T) *launch.Fleet {
+	t.Helper()
+	bin := os.Getenv("COLTSFOOTUSHER_BIN")
+	if bin == "" {
+		t.Skip("COLTSFOOTUSHER_BIN is not set; make test sets it")
+	}
+	profile := filepath.Join("..", "examples", "sablons")
+	data, err := os.ReadFile(filepath.Join(profile, "presets.json"))
+	assert.NilError(t, err)
+	presets, err := preset.Decode(data)
+	assert.NilError(t, err)
+	p := presets.InForce()
+	p.RetryAllowance, p.RetryBudgetPercent = overloadAllowance, 100
+	presets.Presets[presets.Active] = p
+	value, err := json.Marshal(presets)
+	assert.NilError(t, err)
+	f, err := launch.Start(t.Context(), launch.Options{
+		Bin: bin, Profile: profile, Work: t.TempDir(), Seed: overloadSeed,
+		Values: map[fleet.Name]json.RawMessage{fleet.Presets: value},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(f.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	assert.NilError(t, f.AwaitReady(ctx))
+	return f
+}
+
+// sendHard sends the request and, like an impatient caller, sends it again at once to other entries while it fails.
+func sendHard(t *testing.T, entries []string, first int, path, key string) {
+	for attempt := range 1 + callerRetries {
+		entry := entries[(first+attempt)%len(entries)]
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+entry+path, nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		request.Header.Set("Authorization", "Bearer "+key)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			continue
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if err == nil && response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
+
+// executionsPerRequest counts the executions of each request at each service. The node appends its own number to the
+// request id of the root call.
+func executionsPerRequest(entries []journal.Entry) map[string]map[string]int {
+	counts := make(map[string]map[string]int)
+	for _, e := range entries {
+		if e.Event != journal.Start {
+			continue
+		}
+		id, _, _ := strings.Cut(e.RequestID, ".")
+		if counts[id] == nil {
+			counts[id] = make(map[string]int)
+		}
+		counts[id][e.Service]++
+	}
+	return counts
+}
+
+// Guards against retries that multiply along the chain: each level that retried by itself would run the deepest service
+// up to 27 times for one root call (R1).
+func TestRetriesAreBoundedAlongTheChain(t *testing.T) {
+	t.Logf("seed=%d", overloadSeed)
+	f := overloadFleet(t)
+	for _, v := range f.VMs {
+		if v.Service == f.File.DeepestService {
+			assert.NilError(t, v.SetControls(t.Context(), func(c *target.Controls) { c.SlowFactor = 2 }))
+		}
+	}
+	var group sync.WaitGroup
+	for sender := range senders {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(overloadSeed, uint64(sender)))
+			for call := range failingCalls / senders * (1 + healthyPerFailing) {
+				path := fmt.Sprintf("/contracts?token=%d-%d", sender, call)
+				if call%(1+healthyPerFailing) == 0 {
+					// The deepest service executes the request and breaks off its answer each time.
+					path += "&standin-fault=truncated@" + f.File.DeepestService
+				}
+				sendHard(t, f.Entries(), random.IntN(len(f.VMs)), path, f.Keys.Keys[0].Key)
+			}
+		})
+	}
+	group.Wait()
+	entries, err := f.Journals()
+	assert.NilError(t, err)
+	most := make(map[string]int)
+	for _, services := range executionsPerRequest(entries) {
+		for service, count := range services {
+			most[service] = max(most[service], count)
+		}
+	}
+	t.Logf("most executions of one root call by service: %v", most)
+	for service, count := range most {
+		assert.Assert(t, count <= 1+overloadAllowance, "%s ran one root call %d times", service, count)
+	}
+	assert.Assert(t, most[f.File.DeepestService] > 1, "no call was retried, so the bound was not tested")
+	assert.Assert(t, most["signings"] > 0 && most["riders"] > 0, "the chain is not three deep")
+}
