Copy messages in the link instead of allocating a buffer for each

Cause: the links of the stand-in network run in the process of the benchmark driver, which took 1.5 cores in surge and sent calls 460 ms late at the 99th percentile; each message of some hundred bytes allocated 32 KiB. Change: a connection keeps its read buffer and messages are copied out of it.

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -104,12 +105,13 @@
 	chunks := make(chan chunk, queuedChunks)
 	go func() {
 		defer close(chunks)
+		buffer := make([]byte, chunkBytes)
 		for {
-			buffer := make([]byte, chunkBytes)
 			n, err := from.Read(buffer)
 			if n > 0 {
 				delay, _ := l.network.state(d)
-				chunks <- chunk{buffer[:n], time.Now().Add(delay)}
+				// Messages are much shorter than the buffer, so copying them costs less than a new buffer each.
+				chunks <- chunk{bytes.Clone(buffer[:n]), time.Now().Add(delay)}
 			}
 			if err != nil {
 				return
