Keep the connections to the target open between calls

Cause: the setting targetConnections is 0 by default and stands for the published number, but the transport took it as no limit and the default of two idle connections, so a busy node opened a connection, at about 1 ms, for most calls and could exceed the target's connection limit.

--- a/coltsfootd/gateway/target.go
+++ b/coltsfootd/gateway/target.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -33,14 +34,41 @@
 type Target struct {
 	address   string
 	limit     int64
-	transport *http.Transport
+	transport atomic.Pointer[http.Transport]
 	attempts  atomic.Uint64
+
+	mu          sync.Mutex
+	connections int
 }
 
+// initialConnections is used until the published number is known.
+const initialConnections = 64
+
 // NewTarget returns a client of the target at address with at most connections connections
 // that buffers answers of at most bufferedBytes.
 func NewTarget(address string, connections int, bufferedBytes int64) *Target {
-	return &Target{address: address, limit: bufferedBytes, transport: transport.New(netip.Addr{}, connections, connections)}
+	t := &Target{address: address, limit: bufferedBytes}
+	if connections <= 0 {
+		connections = initialConnections
+	}
+	t.SetConnections(connections)
+	return t
+}
+
+// SetConnections changes the largest number of connections. Requests under way keep their connections.
+//
+// All of them may stay idle between requests: with the default of net/http, two, nearly each call of a busy target
+// would open a connection, which costs about a millisecond.
+func (t *Target) SetConnections(connections int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if connections <= 0 || connections == t.connections {
+		return
+	}
+	t.connections = connections
+	if earlier := t.transport.Swap(transport.New(netip.Addr{}, connections, connections)); earlier != nil {
+		earlier.CloseIdleConnections()
+	}
 }
 
 // Do sends the request to the target and reads its answer.
@@ -59,13 +87,14 @@
 	if c.OperationID != "" {
 		request.Header.Set(OperationHeader, c.OperationID)
 	}
-	response, err := t.transport.RoundTrip(request)
+	client := t.transport.Load()
+	response, err := client.RoundTrip(request)
 	if err != nil {
 		return t.failure(ctx, c, err)
 	}
 	if got := response.Header.Get(answer.RequestHeader); got != "" && got != echo {
 		_ = response.Body.Close()
-		t.transport.CloseIdleConnections()
+		client.CloseIdleConnections()
 		return answer.Fail(call.ReasonAnswerMismatch)
 	}
 	return t.read(ctx, c, response)
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -67,6 +67,7 @@
 	entry     *entry.Handler
 	balancer  *passage.LockedBalancer
 	budget    *retry.Budget
+	target    *gateway.Target
 
 	servers []*server
 }
@@ -110,11 +111,11 @@
 	s := n.settings
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
 	ops := operations.New()
+	n.target = gateway.NewTarget(s.TargetAddress, s.TargetConnections, s.BufferedAnswerBytes)
 	g := gateway.New(gateway.Config{
 		Node: s.NodeName, Incarnation: n.incarnation, Service: s.Service, Clock: n.clock, Snapshots: n.control,
 		Holder: n.control, OnceOnly: ops, Suspects: operations.NoSuspects{}, Admission: n.admission,
-		Target:   gateway.NewTarget(s.TargetAddress, s.TargetConnections, s.BufferedAnswerBytes),
-		InFlight: n.inFlight, Recorder: n.recorder,
+		Target: n.target, InFlight: n.inFlight, Recorder: n.recorder,
 	})
 	n.balancer = passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain))
 	n.budget = retry.New(0, minRetriesPerSec)
@@ -241,6 +242,9 @@
 	p := snapshot.Presets.InForce()
 	svc, _ := snapshot.Service(n.settings.Service)
 	n.admission.Update(gateway.Configure(svc, p))
+	if n.settings.TargetConnections == 0 {
+		n.target.SetConnections(svc.ConnectionsPerTarget)
+	}
 	n.balancer.SetRoundRobin(p.Policy == preset.Off)
 	n.budget.Configure(p.RetryBudgetPercent, minRetriesPerSec)
 }
