Limit the gate to the published slots instead of an adaptive limit

Change: the gate uses the fixed limiter; the adaptive one stays in core/gate with its trials. A target that has fewer slots in truth than published would need the adaptive limit.

--- a/coltsfootd/gateway/gateway.go
+++ b/coltsfootd/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -175,9 +176,12 @@
 	return a
 }
 
-// NewGate returns a gate that admits nothing until it is configured.
+// NewGate returns a gate that runs as many calls as the published slots, one until it is configured.
+//
+// An adaptive limit below the slots was rejected: when a deep service slows down, calls of the services above it hold
+// their slots for longer without being congested, and a lower limit there wastes capacity.
 func NewGate(seed uint64, now clock.Millis) *gate.Gate {
-	return gate.New(gate.Config{Enabled: true}, gate.NewAdaptive(1), rand.New(rand.NewPCG(seed, seed)), now)
+	return gate.New(gate.Config{Enabled: true}, gate.Fixed(math.MaxInt32), rand.New(rand.NewPCG(seed, seed)), now)
 }
 
 // Configure returns the change that applies the published service and the preset in force to a gate.
