--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -218,7 +218,9 @@
 	if err := r.scenario.trigger(ctx, r); err != nil {
 		return usage{}, err
 	}
-	r.marks.after = time.Now()
+	if r.marks.after.IsZero() {
+		r.marks.after = time.Now()
+	}
 	used := watch.stop()
 	if err := sleep(ctx, afterTime); err != nil {
 		return usage{}, err
--- a/standin/bench/scenario.go
+++ b/standin/bench/scenario.go
@@ -95,13 +95,16 @@
 	return sleep(ctx, triggerTime)
 }
 
-// during begins a fault, waits for the time of the trigger and ends the fault.
+// during begins a fault, waits for the time of the trigger and ends the fault. The trigger counts from the time at which
+// the fault has reached all targets, as calls that still run fast would exceed the capacity.
 func (r *run) during(ctx context.Context, begin, end func(ctx context.Context) error) error {
-	limit := time.Now().Add(triggerTime)
 	if err := begin(ctx); err != nil {
 		return err
 	}
-	return errs.Combine(sleep(ctx, time.Until(limit)), end(ctx))
+	r.marks.trigger = time.Now()
+	err := sleep(ctx, triggerTime)
+	r.marks.after = time.Now()
+	return errs.Combine(err, end(ctx))
 }
 
 func surgeTrigger(ctx context.Context, r *run) error {
