--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -74,6 +74,7 @@
 	entry     *entry.Handler
 	balancer  *passage.LockedBalancer
 	budget    *retry.Budget
+	target    *gateway.Target
 
 	operations *operations.Service
 	seats      *operations.ListSeats
@@ -132,11 +133,11 @@
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
 	n.drainage = &drainage{admission: n.admission, reasons: make(map[string]bool)}
 	ops := n.operations
+	n.target = gateway.NewTarget(s.TargetAddress, s.TargetConnections, s.BufferedAnswerBytes)
 	g := gateway.New(gateway.Config{
 		Node: s.NodeName, Incarnation: n.incarnation, Service: s.Service, Clock: n.clock, Snapshots: n.control,
 		Holder: n.control, OnceOnly: ops, Suspects: n.suspects, Admission: n.admission,
-		Target:   gateway.NewTarget(s.TargetAddress, s.TargetConnections, s.BufferedAnswerBytes),
-		InFlight: n.inFlight, Recorder: n.recorder,
+		Target: n.target, InFlight: n.inFlight, Recorder: n.recorder,
 	})
 	n.budget = retry.New(0, minRetriesPerSec)
 	sender := passage.New(passage.Config{
@@ -247,6 +248,9 @@
 	svc, _ := snapshot.Service(n.settings.Service)
 	n.admission.Update(gateway.Configure(svc, p))
 	n.followPublishedState(snapshot)
+	if n.settings.TargetConnections == 0 {
+		n.target.SetConnections(svc.ConnectionsPerTarget)
+	}
 	n.balancer.SetRoundRobin(p.Policy == preset.Off)
 	n.budget.Configure(p.RetryBudgetPercent, minRetriesPerSec)
 }
