Test operations, answers and crashing requests with real processes

Callers' outcomes are compared with the targets' journals and checked as histories with porcupine. The egress bounds inner calls by the route or the preset, because a once-only parent outlives its caller's deadline; a target's "not run" counts only if it echoes the request id.

--- a/coltsfootd/egress/egress.go
+++ b/coltsfootd/egress/egress.go
@@ -110,13 +110,19 @@
 	return c, reason
 }
 
-// deadline is the parent's, or an earlier one that the target asks for.
+// deadline is the parent's, or an earlier one from the route, the preset or the target. The parent's alone would let a
+// once-only operation, which outlives its caller's deadline, wait for a target that hangs.
 func (h *Handler) deadline(parent *inflight.Parent, r *http.Request) clock.Millis {
+	now, snapshot := h.Clock.Now(), h.Snapshots.Current()
+	timeout := snapshot.Presets.InForce().DefaultDeadlineMs
+	if found, ok := snapshot.Route(r.URL.Path); ok && found.TimeoutMs > 0 {
+		timeout = found.TimeoutMs
+	}
 	ms, err := strconv.ParseInt(r.Header.Get(gateway.TimeoutHeader), 10, 64)
-	if err != nil || ms <= 0 {
-		return parent.Deadline
+	if err == nil && ms > 0 {
+		timeout = min(timeout, clock.Millis(ms))
 	}
-	return min(parent.Deadline, h.Clock.Now()+clock.Millis(ms))
+	return min(parent.Deadline, now+timeout)
 }
 
 // bound returns a context that ends with the target's own request, the deadline or the parent's request.
--- a/coltsfootd/gateway/target.go
+++ b/coltsfootd/gateway/target.go
@@ -63,15 +63,17 @@
 	if err != nil {
 		return t.failure(ctx, c, err)
 	}
-	if got := response.Header.Get(answer.RequestHeader); got != "" && got != echo {
+	got := response.Header.Get(answer.RequestHeader)
+	if got != "" && got != echo {
 		_ = response.Body.Close()
 		t.transport.CloseIdleConnections()
 		return answer.Fail(call.ReasonAnswerMismatch)
 	}
-	return t.read(ctx, c, response)
+	return t.read(ctx, c, response, got == echo)
 }
 
-func (t *Target) read(ctx context.Context, c call.Call, response *http.Response) answer.Answer {
+// read takes the target's answer; echoed is true if the target has proved that it answers this request.
+func (t *Target) read(ctx context.Context, c call.Call, response *http.Response, echoed bool) answer.Answer {
 	a, err := answer.Read(response, t.limit)
 	if err != nil {
 		if answer.Truncated(err) {
@@ -81,9 +83,11 @@
 	}
 	if a.Header.Get(RefusedHeader) == refusedNotRun {
 		a.Close()
-		refused := refuse(c, call.ReasonOverloaded)
-		refused.Header = http.Header{}
-		return refused
+		if !echoed {
+			// It may be the answer to another request on the connection, so it proves nothing about this one.
+			return answer.Fail(call.ReasonOverloaded)
+		}
+		return refuse(c, call.ReasonOverloaded)
 	}
 	a.Header.Del(answer.RequestHeader)
 	a.Result.Run = call.WasRun
--- a/coltsfootd/passage/client.go
+++ b/coltsfootd/passage/client.go
@@ -85,7 +85,7 @@
 
 func failure(ctx context.Context, c call.Call, err error) answer.Answer {
 	switch {
-	case neverSent(err):
+	case neverSent(err) && ctx.Err() == nil:
 		return giveBack(answer.Refuse(call.ReasonNodeUnreachable), c)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return answer.Fail(call.ReasonDeadlineExceeded)
--- /dev/null
+++ b/integration/crash_test.go
@@ -0,0 +1,124 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/standin/caller"
+	"coltsfootusher.example/standin/launch"
+	"coltsfootusher.example/standin/target"
+)
+
+const (
+	crashLoadTime    = 8 * time.Second
+	crashLoadRate    = 20
+	crashRepeatPause = 50 * time.Millisecond
+	crashRepeats     = 60
+	supervisePause   = 20 * time.Millisecond
+	// crashesPerDomain is the number of targets that a request may crash in each failure domain that sees it before the
+	// fleet knows of it.
+	crashesPerDomain = 2
+)
+
+// supervise restarts dead targets until stop is closed, as the platform does, and returns the number of deaths.
+func supervise(t *testing.T, f *launch.Fleet, stop chan struct{}) *atomic.Int64 {
+	t.Helper()
+	var deaths atomic.Int64
+	var group sync.WaitGroup
+	for _, v := range f.VMs {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-v.TargetProcess.Done():
+				}
+				deaths.Add(1)
+				time.Sleep(supervisePause)
+				if err := f.StartTarget(t.Context(), v); err != nil {
+					t.Errorf("target of %s: %v", v.Name, err)
+					return
+				}
+			}
+		})
+	}
+	t.Cleanup(group.Wait)
+	return &deaths
+}
+
+// Guards against one request that its caller sends again and again and that crashes target after target, and against
+// the refusal of the other requests that were in flight when a target died.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		seed       uint64
+	}{
+		{"at the first target", "/riders?token=crasher&standin-fault=crash", 31},
+		{"at an inner target", "/contracts?token=crasher&standin-fault=crash@riders", 32},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := startSablons(t, test.seed)
+			stop := make(chan struct{})
+			deaths := supervise(t, f, stop)
+			defer close(stop)
+			settings := caller.Settings{
+				Entries: f.Entries(), DurationMs: crashLoadTime.Milliseconds(), MaxCalls: 20_000, MaxInFlight: 2000,
+				TimeoutMs: 3000, Seed: test.seed,
+				Routes: []caller.Route{
+					{Kind: caller.Lookup, Method: http.MethodGet, Path: "/riders", Weight: 4},
+					{Kind: caller.Lookup, Method: http.MethodGet, Path: "/contracts", Weight: 2},
+					{Kind: caller.Issued, Method: http.MethodPost, Path: "/signings", Weight: 2},
+				},
+			}
+			for _, k := range f.Keys.Keys {
+				a := caller.Account{ID: k.Account, Key: k.Key, RatePerSecond: crashLoadRate}
+				settings.Accounts = append(settings.Accounts, a)
+			}
+			load, err := caller.New(settings)
+			assert.NilError(t, err)
+			loaded := make(chan *caller.Result, 1)
+			go func() { loaded <- load.Run(t.Context()) }()
+			reasons := sendCrasher(f, test.path)
+			result := <-loaded
+			t.Logf("%d targets died; the crashing request: %v", deaths.Load(), reasons)
+			t.Logf("others: due %d, %v, refusals %v", result.Total.Due, result.Total.ByVerdict, result.Total.ByReason)
+			assert.Check(t, deaths.Load() >= 2, "the request crashed too few targets to be recognised")
+			assert.Check(t, deaths.Load() <= int64(crashesPerDomain*len(f.File.FailureDomains)))
+			assert.Check(t, reasons[string(call.ReasonPoison)] > 0, "the request was never refused")
+			assert.Check(t, result.Total.ByReason[string(call.ReasonPoison)] == 0, "a harmless request was refused")
+			entries, err := f.Journals()
+			assert.NilError(t, err)
+			assert.Check(t, caller.Compare(result.Operations, entries, isOnceOnly).OK())
+		})
+	}
+}
+
+// sendCrasher sends the request to one entry after the other and counts the reasons of the answers; if the request
+// crashes an inner target, it is the reason that the outer target was given.
+func sendCrasher(f *launch.Fleet, path string) map[string]int {
+	c := newCounter(f, "crasher")
+	reasons := make(map[string]int)
+	for i := range crashRepeats {
+		time.Sleep(crashRepeatPause)
+		entry, key := f.VMs[i%len(f.VMs)].Entry, f.Keys.Keys[0].Key
+		status, header, _, err := c.exchange(entry, key, http.MethodGet, path, nil, nil, time.Second)
+		switch {
+		case err != nil:
+			reasons["broken"]++
+		case header.Get(target.ReasonHeader) != "":
+			reasons[header.Get(target.ReasonHeader)]++
+		case header.Get(target.InnerReasonHeader) != "":
+			reasons[header.Get(target.InnerReasonHeader)]++
+		default:
+			reasons[fmt.Sprintf("status %d", status)]++
+		}
+	}
+	return reasons
+}
--- /dev/null
+++ b/integration/operation_fixture_test.go
@@ -0,0 +1,271 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/standin/caller"
+	"coltsfootusher.example/standin/journal"
+	"coltsfootusher.example/standin/launch"
+	"coltsfootusher.example/standin/target"
+)
+
+const (
+	conditionTimeout = 20 * time.Second
+	conditionPoll    = 10 * time.Millisecond
+	// testLateMs is longer than the deadlines of the calls that meet a late target.
+	testLateMs = 400
+)
+
+// startSablons runs the whole fleet of Sablons with a short fence, so that nodes accept idempotency keys early.
+func startSablons(t *testing.T, seed uint64) *launch.Fleet {
+	t.Helper()
+	t.Logf("seed %d", seed)
+	bin := os.Getenv("COLTSFOOTUSHER_BIN")
+	assert.Assert(t, bin != "", "COLTSFOOTUSHER_BIN must name the directory with the programs; use make test")
+	f, err := launch.Start(t.Context(), launch.Options{
+		Bin: bin, Profile: filepath.Join("..", "examples", "sablons"), Work: t.TempDir(), Seed: seed, LateMs: testLateMs,
+		NodeSettings: map[string]any{"seatFenceMs": 500, "seatFenceMarginMs": 100, "maxClockSkewMs": 200},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(f.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout)
+	defer cancel()
+	assert.NilError(t, f.AwaitReady(ctx))
+	return f
+}
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(conditionTimeout); !condition(); time.Sleep(conditionPoll) {
+		if time.Now().After(deadline) {
+			t.Fatalf("condition not met within %s: %s", conditionTimeout, what)
+		}
+	}
+}
+
+// reply is one attempt of an operation as its caller saw it.
+type reply struct {
+	caller.Attempt
+	sent, received time.Time
+}
+
+// tracked is a once-only operation with all its attempts.
+type tracked struct {
+	id, path, token string
+	kind            caller.Kind
+	key             string
+	// mark is a further part of the query that asks the target for a fault.
+	mark string
+
+	mu      sync.Mutex
+	replies []reply
+}
+
+func (o *tracked) final() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.replies {
+		if r.Outcome == string(call.Done) || r.Outcome == string(call.OutcomeNotRun) {
+			return true
+		}
+	}
+	return false
+}
+
+// counter sends requests as the client accounts do and remembers the operations.
+type counter struct {
+	fleet  *launch.Fleet
+	client *http.Client
+	prefix string
+
+	mu         sync.Mutex
+	operations []*tracked
+}
+
+func newCounter(f *launch.Fleet, prefix string) *counter {
+	return &counter{fleet: f, prefix: prefix, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+// operation makes an operation; nil if no entry issued an id.
+func (c *counter) operation(random *rand.Rand, kind caller.Kind, path string) *tracked {
+	keys := c.fleet.Keys.Keys
+	o := &tracked{kind: kind, path: path, key: keys[random.IntN(len(keys))].Key}
+	if kind == caller.OwnKey {
+		o.id = uuid.Must(uuid.NewV7()).String()
+	} else if o.id = c.issue(c.entry(random), o.key, path); o.id == "" {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o.token = fmt.Sprintf("%s-%d", c.prefix, len(c.operations))
+	c.operations = append(c.operations, o)
+	return o
+}
+
+func (c *counter) entry(random *rand.Rand) string {
+	return c.fleet.VMs[random.IntN(len(c.fleet.VMs))].Entry
+}
+
+func (c *counter) issue(entry, key, path string) string {
+	path = caller.IssuePath + "?route=" + url.QueryEscape(path)
+	status, _, body, err := c.exchange(entry, key, http.MethodPost, path, nil, nil, time.Second)
+	var issued struct{ ID string }
+	if err != nil || status != http.StatusCreated || json.Unmarshal(body, &issued) != nil {
+		return ""
+	}
+	return issued.ID
+}
+
+// send makes one attempt at the entry.
+func (c *counter) send(o *tracked, entry string, timeout time.Duration) reply {
+	header := map[string]string{target.OperationIDHeader: o.id}
+	if o.kind == caller.OwnKey {
+		header = map[string]string{caller.IdempotencyKeyHeader: o.id}
+	}
+	r := reply{Attempt: caller.Attempt{Entry: entry, Verdict: caller.TimedOut}, sent: time.Now()}
+	body := []byte("request " + o.token)
+	path := o.path + "?" + target.TokenParameter + "=" + o.token + o.mark
+	status, got, data, err := c.exchange(entry, o.key, http.MethodPost, path, body, header, timeout)
+	r.received = time.Now()
+	if err == nil {
+		r.Status, r.Reason, r.Outcome = status, got.Get(target.ReasonHeader), got.Get(caller.OutcomeHeader)
+		r.Verdict = caller.Refused
+		if status == http.StatusOK {
+			r.Verdict = caller.Wrong
+			if a, err := target.ParseAnswer(data); err == nil && a.Verify(http.MethodPost, path, o.token, body) == nil {
+				r.Verdict = caller.Complete
+			}
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.replies = append(o.replies, r)
+	return r
+}
+
+func (c *counter) exchange(
+	entry, key, method, path string, body []byte, header map[string]string, timeout time.Duration,
+) (int, http.Header, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+100*time.Millisecond)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	request.GetBody = nil
+	request.Header.Set(caller.KeyHeader, "Bearer "+key)
+	request.Header.Set(target.TimeoutHeader, fmt.Sprint(timeout.Milliseconds()))
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, data, err
+}
+
+// step is an event in the life of one operation: an execution began, or a caller was told an outcome.
+type step struct {
+	operation string
+	execution bool
+	told      call.Outcome
+}
+
+type life struct{ executed, sealed bool }
+
+// lifeModel says that an operation executes at most once, that "done" is told only after it executed, and that "notRun"
+// is told only if it never executes.
+var lifeModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byOperation := make(map[string][]porcupine.Operation)
+		for _, o := range history {
+			name := o.Input.(step).operation
+			byOperation[name] = append(byOperation[name], o)
+		}
+		parts := make([][]porcupine.Operation, 0, len(byOperation))
+		for _, part := range byOperation {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return life{} },
+	Step: func(state, input, _ any) (bool, any) {
+		now, event := state.(life), input.(step)
+		switch {
+		case event.execution:
+			return !now.executed && !now.sealed, life{executed: true}
+		case event.told == call.Done:
+			return now.executed, now
+		case event.told == call.OutcomeNotRun:
+			return !now.executed, life{sealed: true}
+		default:
+			return true, now
+		}
+	},
+}
+
+// check compares what the callers were told with the journals, directly and as a history.
+func (c *counter) check(t *testing.T) map[string]int {
+	t.Helper()
+	entries, err := c.fleet.Journals()
+	assert.NilError(t, err)
+	var history []porcupine.Operation
+	add := func(s step, from, to time.Time) {
+		history = append(history, porcupine.Operation{
+			ClientId: len(history), Input: s, Call: from.UnixNano(), Return: to.UnixNano(),
+		})
+	}
+	var operations []caller.Operation
+	told := make(map[string]int)
+	for _, o := range c.operations {
+		record := caller.Operation{ID: o.id, Kind: o.kind, Path: o.path, Token: o.token}
+		last := "nothing"
+		for _, r := range o.replies {
+			record.Attempts = append(record.Attempts, r.Attempt)
+			assert.Check(t, r.Verdict != caller.Wrong, "operation %s: the answer is not its own and whole", o.token)
+			if r.Outcome != "" {
+				add(step{operation: o.path + " " + o.token, told: call.Outcome(r.Outcome)}, r.sent, r.received)
+				last = r.Outcome
+			}
+		}
+		told[last]++
+		operations = append(operations, record)
+	}
+	for _, e := range entries {
+		if e.Event == journal.Start && isOnceOnly(e.Path) {
+			at := time.UnixMilli(e.AtUnixMs)
+			add(step{operation: e.Path + " " + e.Token, execution: true}, at, at.Add(time.Millisecond))
+			told["executed"]++
+		}
+	}
+	comparison := caller.Compare(operations, entries, isOnceOnly)
+	t.Logf("%d operations, last outcomes %v, %+v", len(operations), told, comparison)
+	assert.Check(t, comparison.OK(), "the journals contradict what callers were told")
+	result, info := porcupine.CheckOperationsVerbose(lifeModel, history, time.Minute)
+	if !assert.Check(t, result == porcupine.Ok, "the history of operations is %s", result) {
+		_ = porcupine.VisualizePath(lifeModel, info, filepath.Join(os.TempDir(), "coltsfootusher-history.html"))
+	}
+	return told
+}
+
+func isOnceOnly(path string) bool { return path == "/signings" || path == "/voids" }
--- /dev/null
+++ b/integration/operation_test.go
@@ -0,0 +1,291 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/standin/caller"
+	"coltsfootusher.example/standin/launch"
+	"coltsfootusher.example/standin/link"
+	"coltsfootusher.example/standin/target"
+)
+
+// fault disturbs the fleet at the VM; the function that it returns repairs the damage.
+type fault struct {
+	name  string
+	cause func(t *testing.T, f *launch.Fleet, v *launch.VM) (repair func())
+}
+
+func restartNode(t *testing.T, f *launch.Fleet, v *launch.VM) {
+	t.Helper()
+	assert.NilError(t, f.StartNode(t.Context(), v))
+}
+
+func restartTarget(t *testing.T, f *launch.Fleet, v *launch.VM) {
+	t.Helper()
+	assert.NilError(t, f.StartTarget(t.Context(), v))
+}
+
+func otherDomain(f *launch.Fleet, v *launch.VM) string {
+	for _, d := range f.File.FailureDomains {
+		if d != v.FailureDomain {
+			return d
+		}
+	}
+	return ""
+}
+
+var faults = []fault{
+	{"node killed", func(t *testing.T, f *launch.Fleet, v *launch.VM) func() {
+		v.Node.Kill()
+		return func() { restartNode(t, f, v) }
+	}},
+	{"target killed", func(t *testing.T, f *launch.Fleet, v *launch.VM) func() {
+		v.TargetProcess.Kill()
+		return func() { restartTarget(t, f, v) }
+	}},
+	{"node and target killed", func(t *testing.T, f *launch.Fleet, v *launch.VM) func() {
+		v.Node.Kill()
+		v.TargetProcess.Kill()
+		return func() {
+			restartTarget(t, f, v)
+			restartNode(t, f, v)
+		}
+	}},
+	{"node paused", func(t *testing.T, _ *launch.Fleet, v *launch.VM) func() {
+		assert.NilError(t, v.Node.Signal(syscall.SIGSTOP))
+		return func() { assert.NilError(t, v.Node.Signal(syscall.SIGCONT)) }
+	}},
+	{"target paused", func(t *testing.T, _ *launch.Fleet, v *launch.VM) func() {
+		assert.NilError(t, v.TargetProcess.Signal(syscall.SIGSTOP))
+		return func() { assert.NilError(t, v.TargetProcess.Signal(syscall.SIGCONT)) }
+	}},
+	{"domain cut off in both directions", func(_ *testing.T, f *launch.Fleet, v *launch.VM) func() {
+		for _, d := range f.File.FailureDomains {
+			if d != v.FailureDomain {
+				f.Network.CutBoth(v.FailureDomain, d)
+			}
+		}
+		return f.Network.Heal
+	}},
+	{"domain cut off in one direction", func(_ *testing.T, f *launch.Fleet, v *launch.VM) func() {
+		f.Network.Cut(link.Direction{From: v.FailureDomain, To: otherDomain(f, v)})
+		return f.Network.Heal
+	}},
+	{"node restarted gracefully", func(t *testing.T, f *launch.Fleet, v *launch.VM) func() {
+		assert.Check(t, v.Shutdown() == nil, "a graceful stop cut requests")
+		return func() { restartNode(t, f, v) }
+	}},
+}
+
+const (
+	operationTimeout = 800 * time.Millisecond
+	// faultTime is longer than the deadline of an operation.
+	faultTime = 1100 * time.Millisecond
+	pauseTime = 300 * time.Millisecond
+	callers   = 24
+	attempts  = 4
+)
+
+// Guards against duplicates, false "not run" and false "done" in any order of faults, while callers send operations
+// again to other entries.
+func TestOperationsUnderFaults(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			f := startSablons(t, seed)
+			c := newCounter(f, fmt.Sprintf("faults-%d", seed))
+			stop := make(chan struct{})
+			var group sync.WaitGroup
+			for i := range callers {
+				random := rand.New(rand.NewPCG(seed, uint64(i)))
+				group.Go(func() { c.load(random, stop) })
+			}
+			random := rand.New(rand.NewPCG(seed, callers))
+			for _, index := range random.Perm(len(faults)) {
+				var homes []*launch.VM
+				for _, v := range f.VMs {
+					if v.Service == "signings" || v.Service == "voids" {
+						homes = append(homes, v)
+					}
+				}
+				v := homes[random.IntN(len(homes))]
+				t.Logf("%s: %s", faults[index].name, v.Name)
+				repair := faults[index].cause(t, f, v)
+				time.Sleep(faultTime)
+				repair()
+				time.Sleep(pauseTime)
+			}
+			close(stop)
+			group.Wait()
+			c.resend(seed)
+			told := c.check(t)
+			assert.Check(t, told[string(call.Done)] > 0)
+			assert.Check(t, told[string(call.Unknown)] > 0, "no fault hit an operation")
+		})
+	}
+}
+
+// load sends operations until stop is closed, each again to other entries until its outcome is final.
+func (c *counter) load(random *rand.Rand, stop chan struct{}) {
+	kinds, paths := []caller.Kind{caller.Issued, caller.OwnKey}, []string{"/signings", "/voids"}
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		o := c.operation(random, kinds[random.IntN(2)], paths[random.IntN(2)])
+		for range attempts {
+			if o == nil || o.final() {
+				break
+			}
+			c.send(o, c.entry(random), operationTimeout)
+		}
+	}
+}
+
+// resend sends the operations without a final outcome to further entries, and some of the others.
+func (c *counter) resend(seed uint64) {
+	var group sync.WaitGroup
+	for worker := range callers {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(1000+worker)))
+			for i := worker; i < len(c.operations); i += callers {
+				if o := c.operations[i]; !o.final() || random.IntN(10) == 0 {
+					c.send(o, c.entry(random), operationTimeout)
+					c.send(o, c.entry(random), operationTimeout)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// Guards against a repeat that runs an operation whose first attempt was cut off while the target was executing it,
+// and against telling that it was not run; for a graceful stop, against a lost answer.
+func TestFaultDuringExecution(t *testing.T) {
+	const seed = 11
+	f := startSablons(t, seed)
+	c := newCounter(f, "during")
+	random := rand.New(rand.NewPCG(seed, 0))
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			o := c.operation(random, caller.Issued, "/signings")
+			assert.Assert(t, o != nil)
+			unused := c.operation(random, caller.Issued, "/signings")
+			assert.Assert(t, unused != nil)
+			for _, v := range f.VMs {
+				if v.Service == "trails" {
+					assert.NilError(t, v.SetControls(t.Context(), func(controls *target.Controls) { controls.SlowFactor = 8 }))
+				}
+			}
+			first := make(chan reply, 1)
+			go func() { first <- c.send(o, f.VMs[0].Entry, 3*time.Second) }()
+			var home *launch.VM
+			await(t, "the operation has begun", func() bool {
+				home = executing(t, f, o)
+				return home != nil
+			})
+			repair := fault.cause(t, f, home)
+			time.Sleep(pauseTime)
+			for _, entry := range []string{f.VMs[1].Entry, f.VMs[5].Entry, f.VMs[9].Entry} {
+				r := c.send(o, entry, operationTimeout)
+				assert.Check(t, r.Outcome != string(call.OutcomeNotRun), "an operation in execution was called not run")
+			}
+			if fault.name == "node restarted gracefully" {
+				r := c.send(o, f.VMs[1].Entry, operationTimeout)
+				assert.Check(t, r.Outcome == string(call.Done) && r.Verdict == caller.Complete, "after the handover: %+v", r)
+			}
+			repair()
+			for _, v := range f.VMs {
+				if v.Service == "trails" {
+					assert.NilError(t, v.SetControls(t.Context(), func(controls *target.Controls) { controls.SlowFactor = 1 }))
+				}
+			}
+			r := <-first
+			t.Logf("first attempt: status %d, outcome %q, reason %q", r.Status, r.Outcome, r.Reason)
+			if fault.name == "node restarted gracefully" {
+				assert.Check(t, r.Verdict == caller.Complete, "a graceful stop lost the answer: %+v", r)
+			}
+			for _, v := range f.VMs {
+				again := c.send(o, v.Entry, operationTimeout)
+				assert.Check(t, again.Outcome != string(call.OutcomeNotRun))
+				c.send(unused, v.Entry, operationTimeout)
+			}
+		})
+	}
+	c.check(t)
+}
+
+// executing returns the VM whose target has begun the operation.
+func executing(t *testing.T, f *launch.Fleet, o *tracked) *launch.VM {
+	t.Helper()
+	entries, err := f.Journals()
+	assert.NilError(t, err)
+	for _, e := range entries {
+		if e.Path == o.path && e.Token == o.token {
+			return f.VM(e.Target)
+		}
+	}
+	return nil
+}
+
+// Guards against ids that another account can use or query, and against unclear answers to wrong requests.
+func TestOperationRequests(t *testing.T) {
+	f := startSablons(t, 12)
+	c := newCounter(f, "requests")
+	first, second := f.Keys.Keys[0].Key, f.Keys.Keys[1].Key
+	id := c.issue(f.VMs[0].Entry, first, "/signings")
+	assert.Assert(t, id != "")
+	issue := func(route string) string { return caller.IssuePath + "?route=" + url.QueryEscape(route) }
+	type headers = map[string]string
+	withID := headers{"Operation-Id": id}
+	const key = "01890a5d-ac96-774b-bcce-b302099a8057"
+	for _, test := range []struct {
+		name, key, method, path string
+		header                  headers
+		status                  int
+		outcome                 call.Outcome
+	}{
+		{"issue without a key", "none", http.MethodPost, issue("/signings"), nil, http.StatusUnauthorized, ""},
+		{"issue for an unknown route", first, http.MethodPost, issue("/none"), nil, http.StatusNotFound, ""},
+		{"issue for a lookup", first, http.MethodPost, issue("/riders"), nil, http.StatusBadRequest, ""},
+		{"issue for a route of another account", first, http.MethodPost, issue("/claims"), nil, http.StatusForbidden, ""},
+		{"query", first, http.MethodGet, caller.IssuePath + "/" + id, nil, http.StatusOK, call.Unknown},
+		{"query by another account", second, http.MethodGet, caller.IssuePath + "/" + id, nil, http.StatusForbidden, ""},
+		{"no id", first, http.MethodPost, "/signings", nil, http.StatusBadRequest, call.OutcomeNotRun},
+		{"forged id", first, http.MethodPost, "/signings", headers{"Operation-Id": id + "A"},
+			http.StatusBadRequest, call.OutcomeNotRun},
+		{"id of another route", first, http.MethodPost, "/voids", withID, http.StatusBadRequest, call.Unknown},
+		{"id of another account", second, http.MethodPost, "/signings", withID, http.StatusBadRequest, call.Unknown},
+		{"key withdrawn", "none", http.MethodPost, "/signings", withID, http.StatusUnauthorized, call.Unknown},
+		{"two ids", first, http.MethodPost, "/signings", headers{"Operation-Id": id, "Idempotency-Key": key},
+			http.StatusBadRequest, call.Unknown},
+		{"old key", first, http.MethodPost, "/signings", headers{"Idempotency-Key": key}, http.StatusConflict, call.Unknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			status, header, body, err := c.exchange(f.VMs[3].Entry, test.key, test.method, test.path, nil, test.header, time.Second)
+			assert.NilError(t, err)
+			assert.Check(t, status == test.status, "status %d, want %d: %v %s", status, test.status, header, body)
+			assert.Check(t, header.Get(caller.OutcomeHeader) == string(test.outcome), "outcome %q", header.Get(caller.OutcomeHeader))
+		})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout)
+	defer cancel()
+	assert.NilError(t, f.AwaitReady(ctx))
+	status, header, _, err := c.exchange(f.VMs[0].Entry, first, http.MethodPost, "/signings?token=own", nil,
+		map[string]string{"Operation-Id": id}, 2*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, header.Get(caller.OutcomeHeader), string(call.Done))
+}
