Let faults overlap in the operation test and send crashing operations

Cause: faults came one at a time, and only lookups crashed targets. Change: each fault lasts until the next one has lasted for half of its time; the crashing request is also sent as an operation with a new id each time; a cut or oversized large answer of an operation has a unit test; the demo runs with a short fence, so that it exercises idempotency keys.

--- a/coltsfootd/operations/operations_test.go
+++ b/coltsfootd/operations/operations_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -218,6 +221,36 @@
 	}
 }
 
+// Guards against a cut large answer that counts as the operation's response, and against a part of a response that was
+// too large to be kept.
+func TestLargeAnswer(t *testing.T) {
+	for _, test := range []struct {
+		rest   io.Reader
+		want   call.Outcome
+		reason call.Reason
+	}{
+		{strings.NewReader(" and more"), call.Done, ""},
+		{iotest.ErrReader(io.ErrUnexpectedEOF), call.Unknown, call.ReasonAnswerTruncated},
+		{strings.NewReader(strings.Repeat("x", 1000)), call.Done, call.ReasonAnswerNotKept},
+	} {
+		m := newMesh(t, "n1")
+		c := m.issue(t)
+		a := m.nodes["n1"].Run(t.Context(), c, func(ctx context.Context) answer.Answer {
+			a := answered(ctx)
+			a.Rest = io.NopCloser(test.rest)
+			return a
+		})
+		assert.Equal(t, a.Result.Outcome, test.want)
+		assert.Equal(t, a.Result.Reason, test.reason)
+		if repeat := m.nodes["n1"].Run(t.Context(), c, never(t)); test.reason == "" {
+			assert.Equal(t, string(repeat.Body), "receipt and more")
+		} else {
+			assert.Equal(t, repeat.Result.Outcome, test.want)
+			assert.Equal(t, len(repeat.Body), 0)
+		}
+	}
+}
+
 // Guards against a restarted home that runs an operation of its earlier incarnation, and against a handover that gets
 // lost when the heirs stop as well.
 func TestHandover(t *testing.T) {
--- a/integration/crash_test.go
+++ b/integration/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/standin/caller"
+	"coltsfootusher.example/standin/journal"
 	"coltsfootusher.example/standin/launch"
 	"coltsfootusher.example/standin/target"
 )
@@ -62,6 +64,7 @@
 	}{
 		{"at the first target", "/riders?token=crasher&standin-fault=crash", 31},
 		{"at an inner target", "/contracts?token=crasher&standin-fault=crash@riders", 32},
+		{"as an operation", "/signings?token=crasher&standin-fault=crash", 33},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := startSablons(t, test.seed)
@@ -95,11 +98,32 @@
 			assert.Check(t, result.Total.ByReason[string(call.ReasonPoison)] == 0, "a harmless request was refused")
 			entries, err := f.Journals()
 			assert.NilError(t, err)
-			assert.Check(t, caller.Compare(result.Operations, entries, isOnceOnly).OK())
+			others, ids := separate(entries)
+			comparison := caller.Compare(result.Operations, others, isOnceOnly)
+			assert.Check(t, comparison.OK(), "%+v", comparison)
+			for id, executions := range ids {
+				assert.Check(t, executions == 1, "the crashing operation %s was executed %d times", id, executions)
+			}
 		})
 	}
 }
 
+// separate returns the entries of the load, and the executions of each crashing operation: they have different ids and
+// the same content, by which the entries of the load are told apart.
+func separate(entries []journal.Entry) ([]journal.Entry, map[string]int) {
+	var others []journal.Entry
+	ids := make(map[string]int)
+	for _, e := range entries {
+		switch {
+		case e.Token != "crasher":
+			others = append(others, e)
+		case e.Event == journal.Start && isOnceOnly(e.Path):
+			ids[e.OperationID]++
+		}
+	}
+	return others, ids
+}
+
 // sendCrasher sends the request to one entry after the other and counts the reasons of the answers; if the request
 // crashes an inner target, it is the reason that the outer target was given.
 func sendCrasher(f *launch.Fleet, path string) map[string]int {
@@ -108,7 +132,12 @@
 	for i := range crashRepeats {
 		time.Sleep(crashRepeatPause)
 		entry, key := f.VMs[i%len(f.VMs)].Entry, f.Keys.Keys[0].Key
-		status, header, _, err := c.exchange(entry, key, http.MethodGet, path, nil, nil, time.Second)
+		method, id := http.MethodGet, map[string]string(nil)
+		if isOnceOnly(strings.SplitN(path, "?", 2)[0]) {
+			// The caller takes a new id each time, so that only the content tells the requests' relation.
+			method, id = http.MethodPost, map[string]string{target.OperationIDHeader: c.issue(entry, key, "/signings")}
+		}
+		status, header, _, err := c.exchange(entry, key, method, path, nil, id, time.Second)
 		switch {
 		case err != nil:
 			reasons["broken"]++
--- a/integration/operation_test.go
+++ b/integration/operation_test.go
@@ -110,21 +110,7 @@
 				random := rand.New(rand.NewPCG(seed, uint64(i)))
 				group.Go(func() { c.load(random, stop) })
 			}
-			random := rand.New(rand.NewPCG(seed, callers))
-			for _, index := range random.Perm(len(faults)) {
-				var homes []*launch.VM
-				for _, v := range f.VMs {
-					if v.Service == "signings" || v.Service == "voids" {
-						homes = append(homes, v)
-					}
-				}
-				v := homes[random.IntN(len(homes))]
-				t.Logf("%s: %s", faults[index].name, v.Name)
-				repair := faults[index].cause(t, f, v)
-				time.Sleep(faultTime)
-				repair()
-				time.Sleep(pauseTime)
-			}
+			disturb(t, f, rand.New(rand.NewPCG(seed, callers)))
 			close(stop)
 			group.Wait()
 			c.resend(seed)
@@ -135,6 +121,34 @@
 	}
 }
 
+// disturb causes each fault once, in random order; each lasts until the next one has lasted for half of its time.
+func disturb(t *testing.T, f *launch.Fleet, random *rand.Rand) {
+	t.Helper()
+	var homes []*launch.VM
+	for _, v := range f.VMs {
+		if v.Service == "signings" || v.Service == "voids" {
+			homes = append(homes, v)
+		}
+	}
+	repair, last := func() {}, -1
+	for _, index := range random.Perm(len(faults)) {
+		// Two faults at one VM would meet a process that has ended already.
+		chosen := random.IntN(len(homes))
+		if chosen == last {
+			chosen = (chosen + 1) % len(homes)
+		}
+		last = chosen
+		t.Logf("%s: %s", faults[index].name, homes[chosen].Name)
+		next := faults[index].cause(t, f, homes[chosen])
+		time.Sleep(faultTime / 2)
+		repair()
+		time.Sleep(faultTime / 2)
+		repair = next
+	}
+	repair()
+	time.Sleep(pauseTime)
+}
+
 // load sends operations until stop is closed, each again to other entries until its outcome is final.
 func (c *counter) load(random *rand.Rand, stop chan struct{}) {
 	kinds, paths := []caller.Kind{caller.Issued, caller.OwnKey}, []string{"/signings", "/voids"}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -56,6 +56,8 @@
 	}
 	f, err := launch.Start(ctx, launch.Options{
 		Bin: o.Bin, Profile: filepath.Join(o.ConfigDir, o.Profile), Work: work, Seed: o.Seed,
+		// One machine has one clock, so the nodes can accept idempotency keys soon after their start.
+		NodeSettings: map[string]any{"seatFenceMs": 500, "seatFenceMarginMs": 100, "maxClockSkewMs": 200},
 	})
 	if err != nil {
 		return err
