Bound stored responses, questions and the search for a home of operations

Cause: one stored response above the size of a peer message would have made the handover of the whole table fail; a panic in an execution would have ended the node; a query or the search for a home had no bound of its own. Two fleets on one machine took each other's free ports before their nodes listened (seen once in 12 fleets: "coltsfootd ended before it had started"). Change: responses above 512 KiB are not stored, answers above 4 MiB are not passed on (answerNotKept); a panic is an unknown outcome; queries and seals end after 1.5 s, the search for a home after 2 s; each launching process uses IP addresses of its own.

--- a/coltsfootd/operations/handover.go
+++ b/coltsfootd/operations/handover.go
@@ -11,7 +11,8 @@
 	"coltsfootusher.example/peer/peerpb"
 )
 
-// partBytes is the size of one part of a handover; its JSON stays below the largest peer message.
+// partBytes is the size of one part of a handover, and of the largest stored response; its JSON stays below the largest
+// peer message.
 const partBytes = 512 << 10
 
 // Leave makes the home seal each new operation; running ones go on.
--- a/coltsfootd/operations/issue.go
+++ b/coltsfootd/operations/issue.go
@@ -14,12 +14,18 @@
 	"coltsfootusher.example/peer/peerpb"
 )
 
-// remoteDistanceMs is the round trip to another failure domain.
-const remoteDistanceMs = 1
+const (
+	// remoteDistanceMs is the round trip to another failure domain.
+	remoteDistanceMs = 1
+	// issueTimeout bounds the search for a home.
+	issueTimeout = peerTimeout * 4
+)
 
 // Issue returns the id of a new operation. Its home is one of the live targets of the route's service; if a node does
 // not answer, another one is asked.
 func (s *Service) Issue(ctx context.Context, account string, r route.Route) (operation.ID, call.Reason) {
+	ctx, cancel := context.WithTimeout(ctx, issueTimeout)
+	defer cancel()
 	exclude := make(map[string]bool)
 	last := call.ReasonNoTarget
 	for ctx.Err() == nil {
--- a/coltsfootd/operations/operations_test.go
+++ b/coltsfootd/operations/operations_test.go
@@ -191,6 +191,16 @@
 	assert.Equal(t, string(a.Body), "receipt")
 }
 
+// Guards against a panic that leaves the operation running for ever, or ends the node.
+func TestPanic(t *testing.T) {
+	m := newMesh(t, "n1")
+	c := m.issue(t)
+	a := m.nodes["n1"].Run(t.Context(), c, func(context.Context) answer.Answer { panic("bug") })
+	assert.Equal(t, a.Result.Outcome, call.Unknown)
+	assert.Equal(t, m.nodes["n1"].Query(t.Context(), c).Outcome, call.Unknown)
+	assert.NilError(t, m.nodes["n1"].Drain(t.Context()))
+}
+
 // Guards against an execution without an end, which would keep a graceful shutdown waiting.
 func TestRunTimeIsBounded(t *testing.T) {
 	m := newMesh(t, "n1")
--- a/coltsfootd/operations/run.go
+++ b/coltsfootd/operations/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"runtime/debug"
 
 	"github.com/go-kit/log/level"
 
@@ -37,7 +39,7 @@
 		defer s.running.Done()
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.runTime)
 		defer cancel()
-		ended <- s.finish(op, execute(bounded))
+		ended <- s.finish(op, s.protect(bounded, execute))
 	}()
 	select {
 	case a := <-ended:
@@ -47,6 +49,17 @@
 	}
 }
 
+// protect turns a panic into an answer, as net/http does for its handlers; the operation would stay running otherwise.
+func (s *Service) protect(ctx context.Context, execute func(ctx context.Context) answer.Answer) (a answer.Answer) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			_ = level.Error(s.config.Logger).Log("msg", "operation panicked", "cause", cause, "stack", string(debug.Stack()))
+			a = answer.Fail(call.ReasonInternal)
+		}
+	}()
+	return execute(ctx)
+}
+
 // beforeDeadline returns a context that ends a little before the deadline of ctx.
 func beforeDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
@@ -86,7 +99,7 @@
 // finish records how the execution ended and returns the answer for the caller.
 func (s *Service) finish(op operation.Operation, a answer.Answer) answer.Answer {
 	a = s.whole(a)
-	outcome, response := outcomeOf(a), operation.Response{Status: a.Status, Header: a.Header.Clone(), Body: a.Body}
+	outcome, response := outcomeOf(a), storable(operation.Response{Status: a.Status, Header: a.Header.Clone(), Body: a.Body})
 	if a.Result.Reason == call.ReasonAnswerNotKept {
 		outcome, response = call.Done, operation.Response{Status: a.Status, BodyDropped: true}
 	}
@@ -107,6 +120,30 @@
 	return a
 }
 
+// maxWholeBytes bounds the memory that the answer of one running operation takes.
+const maxWholeBytes = 4 << 20
+
+// maxStoredBytes bounds a stored response, so that it fits into one message of a handover.
+const maxStoredBytes = partBytes
+
+// storable drops what is too large to be handed over.
+func storable(r operation.Response) operation.Response {
+	if len(r.Body)+headerBytes(r.Header) <= maxStoredBytes {
+		return r
+	}
+	return operation.Response{Status: r.Status, BodyDropped: true}
+}
+
+func headerBytes(header http.Header) int {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // outcomeOf is notRun only if no target can have received the operation.
 func outcomeOf(a answer.Answer) call.Outcome {
 	switch {
@@ -126,7 +163,7 @@
 		return a
 	}
 	defer a.Close()
-	limit := max(0, s.config.Table.MaxBodyBytes-len(a.Body))
+	limit := max(0, min(maxWholeBytes, s.config.Table.MaxBodyBytes)-len(a.Body))
 	rest, err := io.ReadAll(io.LimitReader(a.Rest, int64(limit)+1))
 	switch {
 	case err != nil:
--- a/coltsfootd/operations/settle.go
+++ b/coltsfootd/operations/settle.go
@@ -19,13 +19,13 @@
 	// heirsAsked is the number of ranks that are asked for a home's table, one more than hold it, as a heir may have
 	// been down at the handover.
 	heirsAsked = heirs + 1
-	// sealTimeout bounds a seal and all questions that follow it.
-	sealTimeout = peerTimeout * 3
+	// settleTimeout bounds a seal or a query with all questions that follow it.
+	settleTimeout = peerTimeout * 3
 )
 
 // Seal makes sure that the operation never starts and returns its outcome, unknown if its home does not answer.
 func (s *Service) Seal(ctx context.Context, c call.Call) call.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	return s.outcome(ctx, c, (*Service).sealLocally, func(p peerpb.Control, ctx context.Context) (*peerpb.OutcomeReply, error) {
 		return p.SealOperation(ctx, request(c))
@@ -34,6 +34,8 @@
 
 // Query returns what is known of the operation of the call.
 func (s *Service) Query(ctx context.Context, c call.Call) operation.State {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
 	return s.outcome(ctx, c, (*Service).lookUp, func(p peerpb.Control, ctx context.Context) (*peerpb.OutcomeReply, error) {
 		return p.Outcome(ctx, request(c))
 	})
--- a/coltsfootd/suspect/suspect.go
+++ b/coltsfootd/suspect/suspect.go
@@ -96,11 +96,6 @@
 // Enter lets a request go on to the target, a suspect after the suspects before it; the reason says why not. After
 // success the caller must call Leave.
 func (g *Guard) Enter(ctx context.Context, c call.Call) (poison.Ticket, call.Reason) {
-	here := c.Class == route.OnceOnly
-	if !here {
-		runner, ok := g.runnerIn(g.config.FailureDomain, g.config.Service, nil)
-		here = ok && runner.Name == g.config.Node
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.learn(c.Fingerprint, c.Crashes)
@@ -108,7 +103,7 @@
 		if g.dead {
 			return 0, call.ReasonTargetDown
 		}
-		decision, ticket := g.guard.Admit(c.Fingerprint, here, now())
+		decision, ticket := g.guard.Admit(c.Fingerprint, g.runsHere(c), now())
 		switch decision {
 		case poison.Refuse:
 			return 0, call.ReasonPoison
@@ -123,6 +118,18 @@
 	}
 }
 
+// runsHere reports whether this node's target may run the request if it is a suspect.
+func (g *Guard) runsHere(c call.Call) bool {
+	if c.Class == route.OnceOnly {
+		return true
+	}
+	if g.guard.Standing(c.Fingerprint, now()) == poison.Innocent {
+		return false
+	}
+	runner, ok := g.runnerIn(g.config.FailureDomain, g.config.Service, nil)
+	return ok && runner.Name == g.config.Node
+}
+
 // wait releases the lock until a suspect has ended.
 func (g *Guard) wait(ctx context.Context) call.Reason {
 	if g.waiting >= maxWaiting {
--- a/integration/operation_test.go
+++ b/integration/operation_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -28,7 +30,10 @@
 
 func restartNode(t *testing.T, f *launch.Fleet, v *launch.VM) {
 	t.Helper()
-	assert.NilError(t, f.StartNode(t.Context(), v))
+	if err := f.StartNode(t.Context(), v); err != nil {
+		logs, _ := os.ReadFile(filepath.Join(f.Options.Work, v.Name+"-node.log"))
+		t.Fatalf("%v: %s", err, logs[max(0, len(logs)-1000):])
+	}
 }
 
 func restartTarget(t *testing.T, f *launch.Fleet, v *launch.VM) {
--- a/standin/launch/launch.go
+++ b/standin/launch/launch.go
@@ -24,6 +24,15 @@
 	"coltsfootusher.example/standin/server"
 )
 
+// network is the first half of the fleet's IP addresses. It differs between launching processes, because two fleets with
+// the same addresses take each other's free ports before their nodes listen.
+var network = fmt.Sprintf("127.%d", firstNetwork+os.Getpid()%networks)
+
+const (
+	firstNetwork = 16
+	networks     = 200
+)
+
 // Error is the class of errors of the launcher.
 var Error = errs.Class("launch")
 
@@ -31,7 +40,6 @@
 const PlatformDomain = "platform"
 
 const (
-	platformIP   = "127.9.0.1"
 	secretFile   = "fleet-secret"
 	stopTimeout  = 40 * time.Second
 	parallelism  = 16
@@ -108,6 +116,8 @@
 	return f, nil
 }
 
+func platformIP() string { return network + ".0.1" }
+
 func writeSecret(path string) error {
 	const secretBytes = 32
 	secret := make([]byte, secretBytes)
@@ -156,13 +166,13 @@
 }
 
 func (f *Fleet) startPlatform(ctx context.Context) error {
-	srv, err := f.Platform.Start(ctx, platformIP+":0")
+	srv, err := f.Platform.Start(ctx, platformIP()+":0")
 	if err != nil {
 		return err
 	}
 	f.platformServer = srv
-	f.Network.Place(netip.MustParseAddr(platformIP), PlatformDomain)
-	f.platformLink, err = link.New(f.Network, platformIP+":0", srv.Address(), PlatformDomain)
+	f.Network.Place(netip.MustParseAddr(platformIP()), PlatformDomain)
+	f.platformLink, err = link.New(f.Network, platformIP()+":0", srv.Address(), PlatformDomain)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -180,7 +190,7 @@
 		domains[d] = i + 1
 	}
 	for i, described := range f.File.VMs {
-		ip := fmt.Sprintf("127.9.%d.%d", domains[described.FailureDomain], i+1)
+		ip := fmt.Sprintf("%s.%d.%d", network, domains[described.FailureDomain], i+1)
 		v := &VM{VM: described}
 		addresses := []*string{&v.Entry, &v.Peer, &v.Egress, &v.Operator, &v.Target, &v.Admin}
 		if err := freeAddresses(ip, addresses); err != nil {
