Add standin capacity, which measures slopes of the core and the codecs

make capacity called a subcommand that did not exist, so nothing supported statements about 2,500 targets.

standin capacity measures sections (bytes, decoding, differences, memory), the table of peers, the reader schedule, the balancer, the gate, keys and routes, the call envelope, peer signatures with their nonces, Sync messages, the table of operations and issued ids, at three sizes each, and prints key=value lines with units and least-squares slopes. The schedules of up to 2,500 nodes run in one process against a simulated platform and simulated peers.

Limits print as notMeasured.

--- a/standin/cmd/cmd.go
+++ b/standin/cmd/cmd.go
@@ -24,7 +24,7 @@
 func Run(args []string, out, errOut io.Writer) int {
 	app := kingpin.New("standin", "Test stand-ins for the systems around coltsfootusher.")
 	app.UsageWriter(errOut).ErrorWriter(errOut)
-	commands := []command{platformCommand(app), targetCommand(app), callersCommand(app), demoCommand(app)}
+	commands := []command{platformCommand(app), targetCommand(app), callersCommand(app), demoCommand(app), capacityCommand(app)}
 	name, err := app.Parse(args)
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "standin: %v\n", err)
