Log the lines of net/http in the node's own format

net/http reports faults of connections, such as unsolicited responses of a target, to the standard logger, whose lines had another format and neither node nor part. They now go through the node's logger with part=http.

--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -87,6 +87,7 @@
 		incarnation: rand.Uint64(),
 		inFlight:    inflight.New(),
 	}
+	logging.CaptureStandard(n.logger)
 	secret, err := s.Secret()
 	if err != nil {
 		return nil, err
