--- a/coltsfootd/entry/log_test.go
+++ b/coltsfootd/entry/log_test.go
@@ -43,6 +43,17 @@
 	return answer.Answer{Status: http.StatusOK, Header: http.Header{}, Result: call.Result{Run: call.WasRun}}
 }
 
+// noOperations knows of no operation.
+type noOperations struct{}
+
+func (noOperations) Identify(http.Header, call.Call) (string, call.Reason) {
+	return "", call.ReasonOperationIDInvalid
+}
+func (noOperations) Seal(context.Context, call.Call) call.Outcome { return call.Unknown }
+func (noOperations) Serve(w http.ResponseWriter, _ *http.Request, _ string) {
+	answer.Refuse(call.ReasonOperationIDInvalid).Write(w)
+}
+
 func snapshot(t *testing.T) *fleet.Snapshot {
 	t.Helper()
 	s := &fleet.Snapshot{}
@@ -69,7 +80,7 @@
 	values := fixed{snapshot(t)}
 	handler := entry.New(entry.Config{
 		Node: "riders-a1", Clock: clock.NewFake(1_000), Snapshots: values, Holder: values, Limiter: operations.NoLimit{},
-		Operations: operations.New(), Sender: sender{}, Recorder: recorder, Calls: metric.NewCallCounter(metrics), MaxBody: 1 << 10,
+		Operations: noOperations{}, Sender: sender{}, Recorder: recorder, Calls: metric.NewCallCounter(metrics), MaxBody: 1 << 10,
 	})
 	var ids []string
 	send := func(path, body string, header ...string) {
