--- a/coltsfootd/entry/entry.go
+++ b/coltsfootd/entry/entry.go
@@ -233,7 +233,7 @@
 
 func (h *Handler) record(c call.Call, action string, result call.Result, received clock.Millis) {
 	now := h.Clock.Now()
-	h.Calls.Count(c.Class, metric.OutcomeOf(result))
+	h.Calls.Count(c.Class, result)
 	h.Recorder.Record(decision.Decision{
 		AtMs: now, Part: decision.Entry, RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
 		Node: h.Node, Reason: result.Reason, FactAgeMs: -1, ElapsedMs: now - received,
--- a/coltsfootd/metric/metric.go
+++ b/coltsfootd/metric/metric.go
@@ -38,6 +38,9 @@
 	LastContactMs        Name = "lastContactMs"
 	Ready                Name = "ready"
 	Leaving              Name = "leaving"
+	OperationOutcomes    Name = "operationOutcomes"
+	OperationEntries     Name = "operationEntries"
+	OperationBodyBytes   Name = "operationBodyBytes"
 )
 
 // Names lists the metrics of this package, sorted. Parts of the node may publish further ones.
@@ -46,6 +49,7 @@
 		Calls, Refusals, InnerRefusals, GateRefusals, AttemptFailures, DecisionLinesOmitted, PeerRequestsRejected,
 		PlatformCalls, PlatformErrors, GateRunning, GateWaiting, GateLimit, GateWaitMs, InFlight,
 		SectionVersions, SectionAgesMs, LastContactMs, Ready, Leaving,
+		OperationOutcomes, OperationEntries, OperationBodyBytes,
 	}
 	slices.Sort(names)
 	return names
@@ -76,26 +80,46 @@
 	}
 }
 
-// CallCounter counts the calls of callers by class of route and outcome.
+// CallCounter counts the calls of callers by class of route and outcome, and what they were told of operations.
 type CallCounter struct {
-	calls *expvar.Map
+	calls      *expvar.Map
+	operations *expvar.Map
 }
 
 // NewCallCounter publishes a counter for each class and outcome; calls without a route count under "none".
 func NewCallCounter(metrics *expvar.Map) *CallCounter {
-	c := &CallCounter{calls: new(expvar.Map).Init()}
+	c := &CallCounter{calls: new(expvar.Map).Init(), operations: new(expvar.Map).Init()}
 	for _, class := range []route.Class{route.Lookup, route.OnceOnly, ""} {
 		for _, outcome := range []Outcome{Answered, Refused, Failed} {
 			c.calls.Add(callKey(class, outcome), 0)
 		}
 	}
+	for _, outcome := range []call.Outcome{call.Done, call.OutcomeNotRun, call.Unknown, call.Running} {
+		c.operations.Add(string(outcome), 0)
+	}
 	metrics.Set(string(Calls), c.calls)
+	metrics.Set(string(OperationOutcomes), c.operations)
 	return c
 }
 
-// Count counts one call.
-func (c *CallCounter) Count(class route.Class, outcome Outcome) {
-	c.calls.Add(callKey(class, outcome), 1)
+// Count counts one call with its result.
+func (c *CallCounter) Count(class route.Class, result call.Result) {
+	c.calls.Add(callKey(class, OutcomeOf(result)), 1)
+	if result.Outcome != "" {
+		c.operations.Add(string(result.Outcome), 1)
+	}
+}
+
+// PublishOperations publishes the size of the table of once-only operations.
+func PublishOperations(metrics *expvar.Map, size func() (entries, bodyBytes int)) {
+	metrics.Set(string(OperationEntries), expvar.Func(func() any {
+		entries, _ := size()
+		return entries
+	}))
+	metrics.Set(string(OperationBodyBytes), expvar.Func(func() any {
+		_, bodyBytes := size()
+		return bodyBytes
+	}))
 }
 
 func callKey(class route.Class, outcome Outcome) string {
--- a/coltsfootd/metric/metric_test.go
+++ b/coltsfootd/metric/metric_test.go
@@ -34,19 +34,27 @@
 	status := operator.Status{Ready: true, AgesMs: map[fleet.Name]clock.Millis{fleet.VMs: clock.Never}}
 	metric.Publish(metrics, func() operator.Status { return status })
 	calls := metric.NewCallCounter(metrics)
-	calls.Count(route.Lookup, metric.Answered)
-	calls.Count("", metric.Refused)
+	metric.PublishOperations(metrics, func() (int, int) { return 3, 4096 })
+	calls.Count(route.Lookup, call.Result{Run: call.WasRun})
+	calls.Count("", call.Result{Reason: call.ReasonRouteUnknown, Run: call.NotRun})
+	calls.Count(route.OnceOnly, call.Result{Reason: call.ReasonTargetFailed, Run: call.MaybeRun, Outcome: call.Unknown})
 	status.Load.Waiting = 7
 
 	var got struct {
-		Calls                        map[string]int64
-		GateWaiting, Ready           int
-		SectionAgesMs, LastContactMs map[string]int64
+		Calls                                map[string]int64
+		OperationOutcomes                    map[string]int64
+		OperationEntries, OperationBodyBytes int
+		GateWaiting, Ready                   int
+		SectionAgesMs, LastContactMs         map[string]int64
 	}
 	assert.NilError(t, json.Unmarshal([]byte(metrics.String()), &got))
 	assert.Equal(t, got.Calls["lookup.answered"], int64(1))
 	assert.Equal(t, got.Calls["none.refused"], int64(1))
-	assert.Equal(t, got.Calls["onceOnly.failed"], int64(0))
+	assert.Equal(t, got.Calls["onceOnly.failed"], int64(1))
+	assert.Equal(t, got.Calls["onceOnly.answered"], int64(0))
+	assert.DeepEqual(t, got.OperationOutcomes, map[string]int64{"done": 0, "notRun": 0, "running": 0, "unknown": 1})
+	assert.Equal(t, got.OperationEntries, 3)
+	assert.Equal(t, got.OperationBodyBytes, 4096)
 	assert.Equal(t, got.GateWaiting, 7)
 	assert.Equal(t, got.Ready, 1)
 	assert.Equal(t, got.SectionAgesMs["vms"], int64(-1))
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -113,6 +113,7 @@
 	if err := n.buildOperations(secret, signer); err != nil {
 		return nil, err
 	}
+	metric.PublishOperations(metrics, n.operations.Size)
 	n.buildSuspects()
 	n.buildTraffic(signer, metrics)
 	if err := n.listen(); err != nil {
--- /dev/null
+++ b/coltsfootd/operations/size.go
@@ -0,0 +1,8 @@
+package operations
+
+// Size returns the number of operations on record and the bytes of their stored responses.
+func (s *Service) Size() (entries, bodyBytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Len(), s.table.BodyBytes()
+}
