--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -18,9 +18,11 @@
 
 	"coltsfootusher.example/coltsfootd/control"
 	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/drain"
 	"coltsfootusher.example/coltsfootd/egress"
 	"coltsfootusher.example/coltsfootd/entry"
 	"coltsfootusher.example/coltsfootd/gateway"
+	"coltsfootusher.example/coltsfootd/health"
 	"coltsfootusher.example/coltsfootd/inflight"
 	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/coltsfootd/metric"
@@ -29,7 +31,6 @@
 	"coltsfootusher.example/coltsfootd/passage"
 	"coltsfootusher.example/coltsfootd/peerclient"
 	"coltsfootusher.example/coltsfootd/peerserver"
-	"coltsfootusher.example/coltsfootd/platform"
 	"coltsfootusher.example/coltsfootd/setting"
 	"coltsfootusher.example/coltsfootd/suspect"
 	"coltsfootusher.example/coltsfootd/transport"
@@ -47,7 +48,6 @@
 const (
 	recentDecisions    = 4096
 	peerIdleConns      = 64
-	platformIdleConns  = 8
 	readHeaderTimeout  = 10 * time.Second
 	idleTimeout        = 2 * time.Minute
 	reconfigureEvery   = 50 * time.Millisecond
@@ -64,6 +64,10 @@
 	leaving     atomic.Bool
 
 	control   *control.Loop
+	meter     *transport.Meter
+	peers     *peerclient.Client
+	drainage  *drainage
+	health    *health.Poller
 	admission *gateway.Admission
 	inFlight  *inflight.Table
 	recorder  *decision.Recorder
@@ -73,7 +77,6 @@
 
 	operations *operations.Service
 	seats      *operations.ListSeats
-	peers      *peerclient.Client
 	suspects   *suspect.Guard
 
 	servers []*server
@@ -82,9 +85,11 @@
 type server struct {
 	name     string
 	listener net.Listener
-	http     *http.Server
+	http     *drain.Server
 }
 
+const operatorServer = "operator"
+
 // New builds a node and opens its listeners; logs go to logs.
 func New(s setting.Settings, logs io.Writer) (*Node, error) {
 	n := &Node{
@@ -104,18 +109,19 @@
 		return nil, err
 	}
 	metrics := expvar.NewMap(metric.Map)
-	metric.Publish(metrics, n.status)
 	n.recorder = decision.New(s.NodeName, n.logger, metrics, recentDecisions, s.LogSamplePerSecond)
-	client := platform.New(s.PlatformAddress, s.NodeName,
-		metric.CountPlatform(metrics, transport.New(s.SourceAddress(), 0, platformIdleConns)))
-	n.control = control.New(client, s.WatchWaitMs, logging.Part(n.logger, "control"))
+	if err := n.buildControl(signer, metrics); err != nil {
+		return nil, err
+	}
+	metric.Publish(metrics, n.status)
 	n.balancer = passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain))
-	if err := n.buildOperations(secret, signer); err != nil {
+	if err := n.buildOperations(secret); err != nil {
 		return nil, err
 	}
 	metric.PublishOperations(metrics, n.operations.Size)
 	n.buildSuspects()
 	n.buildTraffic(signer, metrics)
+	n.health = health.New(s.TargetAddress, s.TargetHealthPath, s.TargetHealthIntervalMs, n)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -126,6 +132,7 @@
 func (n *Node) buildTraffic(signer *auth.Signer, metrics *expvar.Map) {
 	s := n.settings
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
+	n.drainage = &drainage{admission: n.admission, reasons: make(map[string]bool)}
 	ops := n.operations
 	g := gateway.New(gateway.Config{
 		Node: s.NodeName, Incarnation: n.incarnation, Service: s.Service, Clock: n.clock, Snapshots: n.control,
@@ -145,16 +152,16 @@
 		Operations: ops, Sender: sender, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes, Calls: metric.NewCallCounter(metrics),
 	})
 	n.servers = []*server{
-		{name: "entry", http: newServer(n.entry, s.MaxHeaderBytes)},
-		{name: "peer", http: newServer(peerserver.New(peerserver.Config{
-			Signer: signer, Gateway: g, Control: n.controlHandler(), MaxBody: maxPeerMessageSize,
-			Logger: logging.Part(n.logger, "peer"), Metrics: metrics,
-		}), s.MaxHeaderBytes)},
-		{name: "egress", http: newServer(egress.New(egress.Config{
+		newDrainServer("entry", newServer(n.entry, s.MaxHeaderBytes)),
+		newDrainServer("peer", newServer(peerserver.New(peerserver.Config{
+			Signer: signer, Gateway: g, Control: peerserver.NewControl(n.controlParts()),
+			MaxBody: maxPeerMessageSize, Logger: logging.Part(n.logger, "peer"), Metrics: metrics,
+		}), s.MaxHeaderBytes)),
+		newDrainServer("egress", newServer(egress.New(egress.Config{
 			Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Operations: ops, Sender: sender,
 			InFlight: n.inFlight, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes,
-		}), s.MaxHeaderBytes)},
-		{name: "operator", http: newServer(operator.Handler(n.status, n.recorder), s.MaxHeaderBytes)},
+		}), s.MaxHeaderBytes)),
+		newDrainServer(operatorServer, newServer(operator.Handler(n.status, n.recorder), s.MaxHeaderBytes)),
 	}
 }
 
@@ -174,7 +181,7 @@
 		if err != nil {
 			return Error.New("%sAddress: %v", srv.name, err)
 		}
-		srv.listener = listener
+		srv.listener = n.meter.Listener(listener)
 	}
 	return nil
 }
@@ -196,6 +203,7 @@
 	go n.admission.Run(background)
 	go n.suspects.Run(background)
 	go n.configure(background)
+	go n.health.Run(background)
 	failed := make(chan error, len(n.servers))
 	line := "listening"
 	for _, srv := range n.servers {
@@ -218,29 +226,6 @@
 	}
 }
 
-// shutdown refuses new work, finishes what runs and closes the servers; entry first, so that callers' requests that
-// are still in flight can use the rest.
-func (n *Node) shutdown() error {
-	_ = level.Info(n.logger).Log("part", "node", "msg", "shutdown started")
-	n.leaving.Store(true)
-	n.operations.Leave()
-	n.entry.SetLeaving()
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeoutMs.Duration())
-	defer cancel()
-	var failures errs.Group
-	for i, srv := range n.servers {
-		if i == 1 {
-			// The callers of this entry have their answers; the peers can still ask while the table is handed over.
-			failures.Add(n.closeOperations(ctx))
-		}
-		if err := srv.http.Shutdown(ctx); err != nil {
-			failures.Add(Error.New("%s: requests were cut after drainTimeoutMs: %v", srv.name, err))
-		}
-	}
-	_ = level.Info(n.logger).Log("part", "node", "msg", "shutdown finished")
-	return failures.Err()
-}
-
 // configure applies the preset and the size of the service to the gate, the balancer and the retry budget.
 func (n *Node) configure(ctx context.Context) {
 	ticker := time.NewTicker(reconfigureEvery)
@@ -251,7 +236,6 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			n.seats.Observe(n.clock.Now())
 			if snapshot := n.control.Current(); snapshot != applied && snapshot.Complete() {
 				n.apply(snapshot)
 				applied = snapshot
@@ -264,15 +248,7 @@
 	p := snapshot.Presets.InForce()
 	svc, _ := snapshot.Service(n.settings.Service)
 	n.admission.Update(gateway.Configure(svc, p))
+	n.followPublishedState(snapshot)
 	n.balancer.SetRoundRobin(p.Policy == preset.Off)
 	n.budget.Configure(p.RetryBudgetPercent, minRetriesPerSec)
 }
-
-func (n *Node) status() operator.Status {
-	snapshot := n.control.Current()
-	return operator.Status{
-		Node: n.settings.NodeName, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain,
-		Service: n.settings.Service, Leaving: n.leaving.Load(), Ready: snapshot.Complete(),
-		ActivePreset: snapshot.Presets.Active, Versions: snapshot.Versions, Load: n.admission.Load(), InFlight: n.inFlight.Len(),
-	}
-}
--- a/coltsfootd/node/suspects.go
+++ b/coltsfootd/node/suspects.go
@@ -68,9 +68,3 @@
 	}
 	return notices
 }
-
-// Sync takes notices about requests; versions are exchanged by the control loop.
-func (c controlServer) Sync(_ context.Context, r *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
-	c.suspects.Merge(decodeNotices(r.Notices))
-	return &peerpb.SyncReply{}, nil
-}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -37,6 +37,11 @@
 	maxInFlight    = 5000
 	maxCalls       = 200_000
 	switchToPreset = "peak"
+
+	// All processes share one clock, so idempotency keys need not wait long after the start.
+	clockSkewMs  = 100
+	seatFenceMs  = 1000
+	seatMarginMs = 200
 )
 
 // Options say what to run.
@@ -56,6 +61,7 @@
 	}
 	f, err := launch.Start(ctx, launch.Options{
 		Bin: o.Bin, Profile: filepath.Join(o.ConfigDir, o.Profile), Work: work, Seed: o.Seed,
+		NodeSettings: map[string]any{"maxClockSkewMs": clockSkewMs, "seatFenceMs": seatFenceMs, "seatFenceMarginMs": seatMarginMs},
 	})
 	if err != nil {
 		return err
