--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -100,6 +100,7 @@
 		incarnation: rand.Uint64(),
 		inFlight:    inflight.New(),
 	}
+	logging.CaptureStandard(n.logger)
 	secret, err := s.Secret()
 	if err != nil {
 		return nil, err
@@ -118,6 +119,7 @@
 	if err := n.buildOperations(secret); err != nil {
 		return nil, err
 	}
+	metric.PublishOperations(metrics, n.operations.Size)
 	n.buildSuspects()
 	n.buildTraffic(signer, metrics)
 	n.health = health.New(s.TargetAddress, s.TargetHealthPath, s.TargetHealthIntervalMs, n)
