Probe a target again before the answer to a broken connection goes back

Cause: the kernel may close the connections of a dying process before its listener, so the first probe found the target alive, and the retry crashed the next target as a harmless request, without proof. Change: up to three probes within 8 ms before the answer, as well as later ones.

--- a/coltsfootd/suspect/suspect.go
+++ b/coltsfootd/suspect/suspect.go
@@ -36,9 +36,13 @@
 	maxSpread = 256
 )
 
-// laterProbes are the times after a broken connection at which a target that still accepted a connection is probed
-// again: a dying process may have a listener for a moment longer.
-var laterProbes = []time.Duration{20 * time.Millisecond, 100 * time.Millisecond}
+// The kernel may close the connections of a dying process before its listener. A target that still accepts a connection
+// is therefore probed again, at first before the answer goes back: a retry without the news of the death would run as
+// a harmless request and crash the next target without proof.
+var (
+	probesBeforeAnswer = []time.Duration{0, 2 * time.Millisecond, 6 * time.Millisecond}
+	laterProbes        = []time.Duration{20 * time.Millisecond, 100 * time.Millisecond}
+)
 
 // Snapshots yields the published values in force.
 type Snapshots interface {
@@ -163,9 +167,15 @@
 	g.released = make(chan struct{})
 	dead := g.dead
 	g.mu.Unlock()
-	if end != poison.Failed || dead || g.probe() {
+	if end != poison.Failed || dead {
 		return
 	}
+	for _, pause := range probesBeforeAnswer {
+		time.Sleep(pause)
+		if g.probe() {
+			return
+		}
+	}
 	for _, after := range laterProbes {
 		time.AfterFunc(after, func() { g.probe() })
 	}
