--- a/coltsfootd/operations/operations_test.go
+++ b/coltsfootd/operations/operations_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"coltsfootusher.example/coltsfootd/answer"
@@ -267,6 +268,9 @@
 	m := newMesh(t, "n1", "n2", "n3", "n4")
 	run, fresh := m.issue(t), m.issue(t)
 	m.nodes["n1"].Run(t.Context(), run, answered)
+	keyed := run
+	keyed.OperationID = uuid.Must(uuid.NewV7()).String()
+	assert.Equal(t, m.nodes["n1"].Run(t.Context(), keyed, answered).Result.Outcome, call.Done)
 	m.stop(t, "n1")
 	check := func() {
 		t.Helper()
@@ -276,6 +280,7 @@
 			}
 			assert.Equal(t, s.Query(t.Context(), run).Outcome, call.Done)
 			assert.Equal(t, string(s.Query(t.Context(), run).Response.Body), "receipt")
+			assert.Equal(t, s.Query(t.Context(), keyed).Outcome, call.Done)
 			assert.Equal(t, s.Query(t.Context(), fresh).Outcome, call.OutcomeNotRun)
 			assert.Equal(t, s.Seal(t.Context(), fresh), call.OutcomeNotRun)
 		}
