--- a/coltsfootctl/cmd/fleet.go
+++ b/coltsfootctl/cmd/fleet.go
@@ -30,7 +30,7 @@
 
 func statusCommand(app *kingpin.Application) command {
 	clause := app.Command("status", "Show the state of the nodes. "+
-		"The exit status is 1 if a node does not answer or if versions differ.")
+		"The exit status is 1 if a node does not answer, if versions differ or if a node rejected a version.")
 	flags := addNodeFlags(clause)
 	output := clause.Flag("output", "table or json.").Short('o').Default("table").Enum("table", "json")
 	return command{clause: clause, run: func(ctx context.Context, s streams) (int, error) {
--- a/coltsfootctl/cmd/fleet_test.go
+++ b/coltsfootctl/cmd/fleet_test.go
@@ -20,11 +20,19 @@
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/config"
 	"coltsfootusher.example/core/fleet"
 )
 
 // startNode serves the operators' address of a node with the given version of the presets.
 func startNode(t *testing.T, name string, presets int64, decisions ...decision.Decision) string {
+	t.Helper()
+	return startNodeWith(t, name, presets, nil, decisions...)
+}
+
+func startNodeWith(
+	t *testing.T, name string, presets int64, sections []config.Status, decisions ...decision.Decision,
+) string {
 	t.Helper()
 	recorder := decision.New(name, log.NewNopLogger(), new(expvar.Map).Init(), 8, 8)
 	for _, d := range decisions {
@@ -36,6 +44,7 @@
 			Versions:      map[fleet.Name]int64{fleet.Presets: presets},
 			AgesMs:        map[fleet.Name]clock.Millis{fleet.Presets: 1500},
 			LastContactMs: map[string]clock.Millis{"platform": 20, "riders-b1": 40},
+			Sections:      sections,
 			Load:          call.Load{Running: 3, Limit: 90, Waiting: 7},
 		}
 	}, recorder))
@@ -55,6 +64,9 @@
 // Guards against a fleet that looks healthy although nodes have different versions in force or do not answer.
 func TestStatusFailsOnDifferencesAndSilence(t *testing.T) {
 	a, b, other := startNode(t, "riders-a1", 4), startNode(t, "riders-b1", 4), startNode(t, "riders-c1", 5)
+	rejecting := startNodeWith(t, "riders-d1", 4, []config.Status{
+		{Name: fleet.Presets, Version: 4, RejectedVersion: 5, RejectedReason: "policy must be on or off"},
+	})
 	silent := silentAddress(t)
 	list := filepath.Join(t.TempDir(), "nodes")
 	assert.NilError(t, os.WriteFile(list, []byte("# domain a\n"+a+"\n\n"+b+" # second\n"), 0o600))
@@ -68,6 +80,8 @@
 			[]string{"riders-a1", "riders-b1", "live", "ordinary", "4 (1.5s)", "3/90", "7", "20ms", "1 (longest 40ms)"}},
 		{"versions differ", []string{"--nodes-file", list, "--node", other}, true,
 			[]string{"presets differ: version 4 on 2 nodes, version 5 on 1 nodes"}},
+		{"version rejected", []string{"--node", a, "--node", rejecting}, true,
+			[]string{"riders-d1 did not apply presets version 5: policy must be on or off"}},
 		{"no answer", []string{"--node", a, "--node", silent}, true, []string{silent, "no answer", "1 of 2 nodes did not answer"}},
 		{"no node", nil, true, nil},
 		{"host name", []string{"--node", "localhost:80"}, true, nil},
--- a/coltsfootctl/status/status.go
+++ b/coltsfootctl/status/status.go
@@ -35,11 +35,20 @@
 	Nodes       []Row        `json:"nodes"`
 	Silent      int          `json:"silent"`
 	Differences []Difference `json:"differences"`
+	NotApplied  []NotApplied `json:"notApplied"`
+}
+
+// NotApplied is a published version that a node did not put in force.
+type NotApplied struct {
+	Node    string     `json:"node"`
+	Section fleet.Name `json:"section"`
+	Version int64      `json:"version"`
+	Reason  string     `json:"reason"`
 }
 
 // New returns the report of the answers.
 func New(answers []node.Answer[operator.Status]) Report {
-	report := Report{Differences: []Difference{}}
+	report := Report{Differences: []Difference{}, NotApplied: []NotApplied{}}
 	for _, a := range answers {
 		row := Row{Address: a.Address}
 		if a.Err != nil {
@@ -47,6 +56,7 @@
 			report.Silent++
 		} else {
 			row.Status = &a.Value
+			report.NotApplied = append(report.NotApplied, notApplied(a.Value)...)
 		}
 		report.Nodes = append(report.Nodes, row)
 	}
@@ -58,6 +68,21 @@
 	return report
 }
 
+func notApplied(s operator.Status) []NotApplied {
+	var found []NotApplied
+	for _, section := range s.Sections {
+		if section.RejectedVersion != 0 {
+			found = append(found, NotApplied{s.Node, section.Name, section.RejectedVersion, section.RejectedReason})
+		}
+		if section.ConflictVersion != 0 {
+			found = append(found, NotApplied{
+				s.Node, section.Name, section.ConflictVersion, "another value has the same version; publish it under a higher one",
+			})
+		}
+	}
+	return found
+}
+
 func difference(rows []Row, section fleet.Name) Difference {
 	d := Difference{Section: section, Nodes: make(map[int64]int)}
 	for _, row := range rows {
@@ -68,9 +93,9 @@
 	return d
 }
 
-// Agreed reports whether every node answered and all have the same versions in force.
+// Agreed reports whether every node answered, all have the same versions in force and none rejected a newer one.
 func (r Report) Agreed() bool {
-	return r.Silent == 0 && len(r.Differences) == 0
+	return r.Silent == 0 && len(r.Differences) == 0 && len(r.NotApplied) == 0
 }
 
 // WriteJSON prints the report as JSON.
@@ -87,7 +112,7 @@
 	for _, section := range fleet.Names() {
 		header = append(header, strings.ToUpper(string(section)))
 	}
-	header = append(header, "RUNNING", "QUEUE", "WAIT", "PLATFORM", "PEERS")
+	header = append(header, "RUNNING", "QUEUE", "WAIT", "WATCHER", "PLATFORM", "PEERS")
 	_, _ = fmt.Fprintln(table, strings.Join(header, "\t"))
 	for _, row := range r.Nodes {
 		_, _ = fmt.Fprintln(table, strings.Join(cells(row), "\t"))
@@ -108,7 +133,7 @@
 		texts = append(texts, version(*s, section))
 	}
 	return append(texts, fmt.Sprintf("%d/%d", s.Load.Running, s.Load.Limit), strconv.Itoa(s.Load.Waiting),
-		duration(s.Load.WaitMs), platformContact(*s), peerContact(*s))
+		duration(s.Load.WaitMs), watcher(*s), platformContact(*s), peerContact(*s))
 }
 
 func state(s operator.Status) string {
@@ -117,6 +142,8 @@
 		return "leaving"
 	case !s.Ready:
 		return "starting"
+	case s.Held:
+		return "held"
 	default:
 		return "live"
 	}
@@ -130,6 +157,14 @@
 	return text
 }
 
+// watcher returns the rank among the watchers of the failure domain, counted from 1.
+func watcher(s operator.Status) string {
+	if s.WatcherRank < 0 {
+		return "-"
+	}
+	return strconv.Itoa(s.WatcherRank + 1)
+}
+
 const platformName = "platform"
 
 func platformContact(s operator.Status) string {
@@ -183,6 +218,11 @@
 			return err
 		}
 	}
+	for _, n := range r.NotApplied {
+		if _, err := fmt.Fprintf(w, "%s did not apply %s version %d: %s\n", n.Node, n.Section, n.Version, n.Reason); err != nil {
+			return err
+		}
+	}
 	if r.Silent > 0 {
 		_, err := fmt.Fprintf(w, "%d of %d nodes did not answer\n", r.Silent, len(r.Nodes))
 		return err
--- a/coltsfootd/metric/metric.go
+++ b/coltsfootd/metric/metric.go
@@ -4,6 +4,8 @@
 	"expvar"
 	"net/http"
 	"slices"
+	"sync"
+	"time"
 
 	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/core/call"
@@ -38,6 +40,10 @@
 	LastContactMs        Name = "lastContactMs"
 	Ready                Name = "ready"
 	Leaving              Name = "leaving"
+	Held                 Name = "held"
+	Pauses               Name = "pauses"
+	WatcherRank          Name = "watcherRank"
+	SectionsNotApplied   Name = "sectionsNotApplied"
 	OperationOutcomes    Name = "operationOutcomes"
 	OperationEntries     Name = "operationEntries"
 	OperationBodyBytes   Name = "operationBodyBytes"
@@ -49,7 +55,7 @@
 		Calls, Refusals, InnerRefusals, GateRefusals, AttemptFailures, DecisionLinesOmitted, PeerRequestsRejected,
 		PlatformCalls, PlatformErrors, GateRunning, GateWaiting, GateLimit, GateWaitMs, InFlight,
 		SectionVersions, SectionAgesMs, LastContactMs, Ready, Leaving,
-		OperationOutcomes, OperationEntries, OperationBodyBytes,
+		Held, Pauses, WatcherRank, SectionsNotApplied, OperationOutcomes, OperationEntries, OperationBodyBytes,
 	}
 	slices.Sort(names)
 	return names
@@ -132,22 +138,56 @@
 // Publish publishes the metrics that are read from the node's status.
 func Publish(metrics *expvar.Map, status func() operator.Status) {
 	gauges := map[Name]func(s operator.Status) any{
-		GateRunning:     func(s operator.Status) any { return s.Load.Running },
-		GateWaiting:     func(s operator.Status) any { return s.Load.Waiting },
-		GateLimit:       func(s operator.Status) any { return s.Load.Limit },
-		GateWaitMs:      func(s operator.Status) any { return s.Load.WaitMs },
-		InFlight:        func(s operator.Status) any { return s.InFlight },
-		SectionVersions: func(s operator.Status) any { return s.Versions },
-		SectionAgesMs:   func(s operator.Status) any { return known(s.AgesMs) },
-		LastContactMs:   func(s operator.Status) any { return known(s.LastContactMs) },
-		Ready:           func(s operator.Status) any { return asNumber(s.Ready) },
-		Leaving:         func(s operator.Status) any { return asNumber(s.Leaving) },
+		GateRunning:        func(s operator.Status) any { return s.Load.Running },
+		GateWaiting:        func(s operator.Status) any { return s.Load.Waiting },
+		GateLimit:          func(s operator.Status) any { return s.Load.Limit },
+		GateWaitMs:         func(s operator.Status) any { return s.Load.WaitMs },
+		InFlight:           func(s operator.Status) any { return s.InFlight },
+		SectionVersions:    func(s operator.Status) any { return s.Versions },
+		SectionAgesMs:      func(s operator.Status) any { return known(s.AgesMs) },
+		LastContactMs:      func(s operator.Status) any { return known(s.LastContactMs) },
+		Ready:              func(s operator.Status) any { return asNumber(s.Ready) },
+		Leaving:            func(s operator.Status) any { return asNumber(s.Leaving) },
+		Held:               func(s operator.Status) any { return asNumber(s.Held) },
+		Pauses:             func(s operator.Status) any { return s.Pauses },
+		WatcherRank:        func(s operator.Status) any { return s.WatcherRank },
+		SectionsNotApplied: func(s operator.Status) any { return notApplied(s) },
 	}
+	status = remember(status)
 	for name, read := range gauges {
 		metrics.Set(string(name), expvar.Func(func() any { return read(status()) }))
 	}
 }
 
+// statusAge is the time for which a status is used again, so that one reading of all metrics asks the node once.
+const statusAge = 100 * time.Millisecond
+
+func remember(status func() operator.Status) func() operator.Status {
+	var mu sync.Mutex
+	var last operator.Status
+	var read time.Time
+	return func() operator.Status {
+		mu.Lock()
+		defer mu.Unlock()
+		if read.IsZero() || time.Since(read) > statusAge {
+			last = status()
+			read = time.Now()
+		}
+		return last
+	}
+}
+
+// notApplied counts the sections of which a published version was rejected or contradicts the one in force.
+func notApplied(s operator.Status) int {
+	count := 0
+	for _, section := range s.Sections {
+		if section.RejectedVersion != 0 || section.ConflictVersion != 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // known returns an empty map instead of none, so that the metric is always an object; clock.Never becomes -1.
 func known[K comparable](ages map[K]clock.Millis) map[K]clock.Millis {
 	result := make(map[K]clock.Millis, len(ages))
--- a/coltsfootd/metric/metric_test.go
+++ b/coltsfootd/metric/metric_test.go
@@ -17,6 +17,7 @@
 	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/config"
 	"coltsfootusher.example/core/fleet"
 	"coltsfootusher.example/core/route"
 )
@@ -31,7 +32,10 @@
 // Guards against counters and gauges that do not follow the node's state, or that are not valid JSON.
 func TestMetricsFollowTheState(t *testing.T) {
 	metrics := new(expvar.Map).Init()
-	status := operator.Status{Ready: true, AgesMs: map[fleet.Name]clock.Millis{fleet.VMs: clock.Never}}
+	status := operator.Status{
+		Ready: true, Sections: []config.Status{{RejectedVersion: 4}, {}},
+		AgesMs: map[fleet.Name]clock.Millis{fleet.VMs: clock.Never},
+	}
 	metric.Publish(metrics, func() operator.Status { return status })
 	calls := metric.NewCallCounter(metrics)
 	metric.PublishOperations(metrics, func() (int, int) { return 3, 4096 })
@@ -41,11 +45,11 @@
 	status.Load.Waiting = 7
 
 	var got struct {
-		Calls                                map[string]int64
-		OperationOutcomes                    map[string]int64
-		OperationEntries, OperationBodyBytes int
-		GateWaiting, Ready                   int
-		SectionAgesMs, LastContactMs         map[string]int64
+		Calls                                  map[string]int64
+		OperationOutcomes                      map[string]int64
+		OperationEntries, OperationBodyBytes   int
+		GateWaiting, Ready, SectionsNotApplied int
+		SectionAgesMs, LastContactMs           map[string]int64
 	}
 	assert.NilError(t, json.Unmarshal([]byte(metrics.String()), &got))
 	assert.Equal(t, got.Calls["lookup.answered"], int64(1))
@@ -57,6 +61,7 @@
 	assert.Equal(t, got.OperationBodyBytes, 4096)
 	assert.Equal(t, got.GateWaiting, 7)
 	assert.Equal(t, got.Ready, 1)
+	assert.Equal(t, got.SectionsNotApplied, 1)
 	assert.Equal(t, got.SectionAgesMs["vms"], int64(-1))
 	assert.Assert(t, got.LastContactMs != nil)
 }
