--- a/coltsfootd/operations/operations_test.go
+++ b/coltsfootd/operations/operations_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -188,6 +191,16 @@
 	assert.Equal(t, string(a.Body), "receipt")
 }
 
+// Guards against a panic that leaves the operation running for ever, or ends the node.
+func TestPanic(t *testing.T) {
+	m := newMesh(t, "n1")
+	c := m.issue(t)
+	a := m.nodes["n1"].Run(t.Context(), c, func(context.Context) answer.Answer { panic("bug") })
+	assert.Equal(t, a.Result.Outcome, call.Unknown)
+	assert.Equal(t, m.nodes["n1"].Query(t.Context(), c).Outcome, call.Unknown)
+	assert.NilError(t, m.nodes["n1"].Drain(t.Context()))
+}
+
 // Guards against an execution without an end, which would keep a graceful shutdown waiting.
 func TestRunTimeIsBounded(t *testing.T) {
 	m := newMesh(t, "n1")
@@ -218,6 +231,36 @@
 	}
 }
 
+// Guards against a cut large answer that counts as the operation's response, and against a part of a response that was
+// too large to be kept.
+func TestLargeAnswer(t *testing.T) {
+	for _, test := range []struct {
+		rest   io.Reader
+		want   call.Outcome
+		reason call.Reason
+	}{
+		{strings.NewReader(" and more"), call.Done, ""},
+		{iotest.ErrReader(io.ErrUnexpectedEOF), call.Unknown, call.ReasonAnswerTruncated},
+		{strings.NewReader(strings.Repeat("x", 1000)), call.Done, call.ReasonAnswerNotKept},
+	} {
+		m := newMesh(t, "n1")
+		c := m.issue(t)
+		a := m.nodes["n1"].Run(t.Context(), c, func(ctx context.Context) answer.Answer {
+			a := answered(ctx)
+			a.Rest = io.NopCloser(test.rest)
+			return a
+		})
+		assert.Equal(t, a.Result.Outcome, test.want)
+		assert.Equal(t, a.Result.Reason, test.reason)
+		if repeat := m.nodes["n1"].Run(t.Context(), c, never(t)); test.reason == "" {
+			assert.Equal(t, string(repeat.Body), "receipt and more")
+		} else {
+			assert.Equal(t, repeat.Result.Outcome, test.want)
+			assert.Equal(t, len(repeat.Body), 0)
+		}
+	}
+}
+
 // Guards against a restarted home that runs an operation of its earlier incarnation, and against a handover that gets
 // lost when the heirs stop as well.
 func TestHandover(t *testing.T) {
