Refuse lookups at the entry while their like fail because of overload

Cause: in surge each refused root call and its three immediate retries run the services in front of the overloaded one before its gate refuses them; nodes and targets spend processor time on work that fails. Change: an entry counts, by account and route, its calls and those that did not fail because of overload, and sends on at most twice the accepted number. The answer of a target whose inner call was refused carries Coltsfoot-Inner-Reason, so that the entry and the caller know why it failed.

--- a/coltsfootd/answer/answer.go
+++ b/coltsfootd/answer/answer.go
@@ -16,9 +16,11 @@
 	RunHeader     = "Coltsfoot-Run"
 	RequestHeader = "Coltsfoot-Request-Id"
 	NodeHeader    = "Coltsfoot-Node"
-	OutcomeHeader = "Operation-Outcome"
-	retryHeader   = "Retry-After"
-	retryMsHeader = "Retry-After-Ms"
+	// InnerReasonHeader says why an inner call was not run, on the answer of a target that failed because of it.
+	InnerReasonHeader = "Coltsfoot-Inner-Reason"
+	OutcomeHeader     = "Operation-Outcome"
+	retryHeader       = "Retry-After"
+	retryMsHeader     = "Retry-After-Ms"
 )
 
 // Answer is a target's answer or a refusal.
@@ -48,6 +50,14 @@
 	return a.Result.Reason == ""
 }
 
+// Refusal returns why the call or an inner call of it was not run, or "".
+func (a Answer) Refusal() call.Reason {
+	if a.Result.Reason != "" && a.Result.Run == call.NotRun {
+		return a.Result.Reason
+	}
+	return call.Reason(a.Header.Get(InnerReasonHeader))
+}
+
 // Close releases the connection of an answer that is not written.
 func (a Answer) Close() {
 	if a.Rest != nil {
--- a/coltsfootd/entry/entry.go
+++ b/coltsfootd/entry/entry.go
@@ -59,6 +59,12 @@
 
 const requestIDBytes = 12
 
+// Throttle refuses root calls early while their like fail because of overload.
+type Throttle interface {
+	Admit(key retry.ThrottleKey, now clock.Millis) bool
+	Done(key retry.ThrottleKey, accepted bool, now clock.Millis)
+}
+
 // Config are the dependencies of a Handler.
 type Config struct {
 	Node       string
@@ -67,6 +73,7 @@
 	Holder     Holder
 	Limiter    Limiter
 	Operations Operations
+	Throttle   Throttle
 	Sender     Sender
 	Recorder   *decision.Recorder
 	MaxBody    int64
@@ -187,10 +194,18 @@
 			return a
 		}
 	}
+	throttled := c.Class == route.Lookup && p.Policy == preset.On
+	key := retry.ThrottleKey{Account: c.Account, Route: c.Route}
+	if throttled && !h.Throttle.Admit(key, h.Clock.Now()) {
+		return h.refuse(c, call.ReasonOverloaded, received)
+	}
 	a := h.Sender.Send(ctx, passage.Request{
 		Call: c, Header: forwardedHeader(r.Header), Body: body,
 		Deadline: received + c.TimeoutMs, Allowance: retry.NewAllowance(p.RetryAllowance),
 	})
+	if throttled {
+		h.Throttle.Done(key, !a.Refusal().Overload(), h.Clock.Now())
+	}
 	a.Result.Node = h.Node
 	h.record(c, "call finished", a.Result.Reason, received)
 	return &a
--- a/coltsfootd/gateway/gateway.go
+++ b/coltsfootd/gateway/gateway.go
@@ -158,9 +158,21 @@
 		Cancelled: a.Result.Reason == call.ReasonCallerGone,
 	})
 	a.Result.AllowanceLeft = parent.Allowance.TakeAll()
+	tellInnerRefusal(a, parent)
 	return a, died
 }
 
+// tellInnerRefusal adds the reason why an inner call was refused to the answer of a target that failed.
+func tellInnerRefusal(a answer.Answer, parent *inflight.Parent) {
+	if a.Header == nil {
+		return
+	}
+	a.Header.Del(answer.InnerReasonHeader)
+	if reason := parent.Refusal(); reason != "" && a.Status >= http.StatusInternalServerError {
+		a.Header.Set(answer.InnerReasonHeader, string(reason))
+	}
+}
+
 func (g *Gateway) record(c call.Call, action string, reason call.Reason, since clock.Millis) {
 	now := g.Clock.Now()
 	g.Recorder.Record(decision.Decision{
--- a/coltsfootd/inflight/inflight.go
+++ b/coltsfootd/inflight/inflight.go
@@ -30,6 +30,24 @@
 	mu        sync.Mutex
 	positions map[string]int
 	children  map[string]string
+	refusal   call.Reason
+}
+
+// NoteRefusal remembers why an inner call was not run; an empty reason is ignored.
+func (p *Parent) NoteRefusal(reason call.Reason) {
+	if reason == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusal = reason
+}
+
+// Refusal returns the reason of the last inner call that was not run, or "".
+func (p *Parent) Refusal() call.Reason {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusal
 }
 
 // Position returns the number of earlier inner calls with the same service and path, as a text.
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -127,7 +127,8 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Holder: n.control, Limiter: operations.NoLimit{},
-		Operations: ops, Sender: sender, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes,
+		Operations: ops, Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))), Sender: sender,
+		Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes,
 	})
 	n.servers = []*server{
 		{name: "entry", http: newServer(n.entry, s.MaxHeaderBytes)},
--- a/core/call/reason.go
+++ b/core/call/reason.go
@@ -114,3 +114,8 @@
 		return false
 	}
 }
+
+// Overload reports whether the reason says that a target has no room for the call.
+func (r Reason) Overload() bool {
+	return r == ReasonOverloaded || r == ReasonQueueTimeout || r == ReasonDoomed
+}
