--- a/coltsfootd/entry/log_test.go
+++ b/coltsfootd/entry/log_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -25,6 +26,7 @@
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/retry"
 )
 
 const (
@@ -80,7 +82,7 @@
 	values := fixed{snapshot(t)}
 	handler := entry.New(entry.Config{
 		Node: "riders-a1", Clock: clock.NewFake(1_000), Snapshots: values, Holder: values, Limiter: operations.NoLimit{},
-		Operations: noOperations{}, Sender: sender{}, Recorder: recorder, Calls: metric.NewCallCounter(metrics), MaxBody: 1 << 10,
+		Operations: noOperations{}, Throttle: retry.NewThrottle(rand.New(rand.NewPCG(1, 1))), Sender: sender{}, Recorder: recorder, Calls: metric.NewCallCounter(metrics), MaxBody: 1 << 10,
 	})
 	var ids []string
 	send := func(path, body string, header ...string) {
--- a/coltsfootd/inflight/inflight.go
+++ b/coltsfootd/inflight/inflight.go
@@ -28,6 +28,24 @@
 
 	mu       sync.Mutex
 	children map[string]*child
+	refusal  call.Reason
+}
+
+// NoteRefusal remembers why an inner call was not run; an empty reason is ignored.
+func (p *Parent) NoteRefusal(reason call.Reason) {
+	if reason == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusal = reason
+}
+
+// Refusal returns the reason of the last inner call that was not run, or "".
+func (p *Parent) Refusal() call.Reason {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusal
 }
 
 // child is an inner once-only call; its lock is held while its id is obtained.
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -150,7 +150,8 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Holder: n.control, Limiter: operations.NoLimit{},
-		Operations: ops, Sender: sender, Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes, Calls: metric.NewCallCounter(metrics),
+		Operations: ops, Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))), Sender: sender,
+		Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes, Calls: metric.NewCallCounter(metrics),
 	})
 	n.servers = []*server{
 		newDrainServer("entry", newServer(n.entry, s.MaxHeaderBytes)),
