Choose listening ports below the range of outgoing connections

Cause: the launcher took listening ports from the ephemeral range. A node that dials from its own IP address, also one of another fleet on the machine, could hold such a port when a process wanted to listen on it (seen twice in a row: "listen tcp 127.9.2.12:40037: bind: address already in use").

Change: ports are chosen at random from 10000 to 31999.

--- a/standin/launch/launch.go
+++ b/standin/launch/launch.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	randv2 "math/rand/v2"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -196,10 +198,19 @@
 	return nil
 }
 
+// The ports of processes lie below the range from which Linux chooses the ports of outgoing connections (32768 and
+// up). Nodes dial from their own IP addresses, and such a connection, also one of another fleet, would keep a process
+// from listening on its port after a restart.
+const (
+	firstPort    = 10_000
+	lastPort     = 32_000
+	portAttempts = 100
+)
+
 // freeAddresses fills in addresses with free ports; all are held open until each has one, so that they differ.
 func freeAddresses(ip string, addresses []*string) error {
 	for _, address := range addresses {
-		listener, err := server.Listen(context.Background(), ip+":0")
+		listener, err := listenOnFreePort(ip)
 		if err != nil {
 			return err
 		}
@@ -209,6 +220,18 @@
 	return nil
 }
 
+func listenOnFreePort(ip string) (net.Listener, error) {
+	var err error
+	for range portAttempts {
+		var listener net.Listener
+		port := firstPort + randv2.IntN(lastPort-firstPort)
+		if listener, err = server.Listen(context.Background(), fmt.Sprintf("%s:%d", ip, port)); err == nil {
+			return listener, nil
+		}
+	}
+	return nil, Error.New("no free port at %s: %v", ip, err)
+}
+
 func (f *Fleet) publishAll() error {
 	for _, name := range fleet.Names() {
 		value, ok := f.Options.Values[name]
