Send work to a restarted node as soon as its restart is known

Cause: a node that a leaving peer had told directly took the old incarnation for the current one for 30 s after that contact, although it knew of a live incarnation by then. A new incarnation was also passed on only with the next news, up to 1 s later.

Change: member.Table counts a live incarnation that was learned after the leaving of the current one. A new incarnation is news for waiting peers.

Seen failing without the rule: TestRefuses/restart_noticed_after_contact.

--- a/coltsfootd/control/call.go
+++ b/coltsfootd/control/call.go
@@ -114,7 +114,7 @@
 		l.reader.Done(action.ID, config.Reply{}, now)
 		return
 	}
-	l.members.Contact(member.Notice{Node: name, Incarnation: reply.Incarnation}, sentAt, now)
+	l.contact(member.Notice{Node: name, Incarnation: reply.Incarnation}, sentAt, now)
 	l.receiveNotices(reply.Notices, now)
 	position := reply.Cursor
 	if old := l.cursors[name]; old.incarnation != reply.Incarnation && old.position != 0 {
@@ -136,6 +136,17 @@
 	}
 }
 
+// contact records that a node itself spoke. A new incarnation is news for waiting peers: they send no work to the
+// node as long as they know only that its earlier incarnation was leaving.
+func (l *Loop) contact(notice member.Notice, sentAt, now clock.Millis) {
+	before, known := l.members.Peer(notice.Node, now)
+	l.members.Contact(notice, sentAt, now)
+	after, _ := l.members.Peer(notice.Node, now)
+	if !known || before.Incarnation != after.Incarnation || before.Leaving != after.Leaving {
+		l.news = true
+	}
+}
+
 // receiveNotices takes the notices about nodes.
 func (l *Loop) receiveNotices(notices []*peerpb.Notice, now clock.Millis) {
 	var about []member.Notice
--- a/coltsfootd/control/leave.go
+++ b/coltsfootd/control/leave.go
@@ -23,8 +23,7 @@
 		return nil, err
 	}
 	l.post(ctx, func(now clock.Millis) {
-		l.members.Contact(member.Notice{Node: r.Node, Incarnation: r.Incarnation, Leaving: true}, now, now)
-		l.news = true
+		l.contact(member.Notice{Node: r.Node, Incarnation: r.Incarnation, Leaving: true}, now, now)
 	})
 	return &peerpb.LeaveReply{}, nil
 }
--- a/coltsfootd/control/sync.go
+++ b/coltsfootd/control/sync.go
@@ -55,7 +55,7 @@
 }
 
 func (l *Loop) receive(w *waiter, r *peerpb.SyncRequest, now clock.Millis) {
-	l.members.Contact(member.Notice{Node: r.Node, Incarnation: r.Incarnation}, now, now)
+	l.contact(member.Notice{Node: r.Node, Incarnation: r.Incarnation}, now, now)
 	l.receiveNotices(r.Notices, now)
 	w.deadline = now + min(maxWaitMs, max(0, clock.Millis(r.WaitMs)))
 	if l.pause.View().Held(now) {
--- a/coltsfootd/drain/conn.go
+++ b/coltsfootd/drain/conn.go
@@ -106,7 +106,7 @@
 	defer c.server.conns.Done()
 	defer func() { _ = c.Conn.Close() }()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.Conn.Write(c.server.Refusal); err != nil {
+	if _, err := c.Write(c.server.Refusal); err != nil {
 		return
 	}
 	_ = c.CloseWrite()
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -199,7 +199,7 @@
 		return false
 	}
 	if p.contacted && now-p.contact <= contactValidMs {
-		return p.incarnations[p.current].leaving
+		return p.incarnations[p.current].leaving && !p.restarted()
 	}
 	leaving := false
 	for incarnation, k := range p.incarnations {
@@ -215,6 +215,18 @@
 	return leaving
 }
 
+// restarted reports whether a live incarnation was learned after the leaving of the current one. Without this rule a
+// node that a leaving peer told directly would send it no work until contactValidMs after its restart.
+func (p *peer) restarted() bool {
+	left := p.incarnations[p.current].learned
+	for incarnation, k := range p.incarnations {
+		if incarnation != p.current && !k.leaving && k.learned >= left {
+			return true
+		}
+	}
+	return false
+}
+
 // Prune drops what is too old.
 func (t *Table) Prune(now clock.Millis) {
 	for node, p := range t.peers {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -32,6 +32,7 @@
 		{"restarted", vm.Live, []member.Notice{leaving, live}, nil, 0, member.None},
 		{"late notice about the old incarnation", vm.Live, []member.Notice{live}, []member.Notice{leaving}, 0, member.None},
 		{"no recent contact", vm.Live, []member.Notice{live}, []member.Notice{leaving}, 30_001, member.NoticedLeaving},
+		{"restart noticed after contact", vm.Live, []member.Notice{leaving}, []member.Notice{live}, 0, member.None},
 		{"restart noticed", vm.Live, nil, []member.Notice{live, leaving}, 0, member.None},
 		{"expired", vm.Live, nil, []member.Notice{leaving}, 600_001, member.None},
 	}
