--- /dev/null
+++ b/integration/fixture_test.go
@@ -0,0 +1,189 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/standin/caller"
+	"coltsfootusher.example/standin/launch"
+	"coltsfootusher.example/standin/platform"
+)
+
+const (
+	readyTimeout = 30 * time.Second
+	pollInterval = 20 * time.Millisecond
+	// callerTimeout is far above all targets, so that a test fails on its own bound.
+	callerTimeout = 10 * time.Second
+)
+
+// seedOf returns the seed in COLTSFOOTUSHER_SEED or a random one, and logs it.
+func seedOf(t *testing.T) uint64 {
+	t.Helper()
+	seed, err := strconv.ParseUint(os.Getenv("COLTSFOOTUSHER_SEED"), 10, 64)
+	if err != nil {
+		seed = rand.Uint64N(1_000_000)
+	}
+	t.Logf("seed %d", seed)
+	return seed
+}
+
+// start launches the fleet of Sablons and waits until every node is ready.
+func start(t *testing.T, seed uint64, settings map[string]any) *launch.Fleet {
+	t.Helper()
+	bin := os.Getenv("COLTSFOOTUSHER_BIN")
+	if bin == "" {
+		t.Fatal("COLTSFOOTUSHER_BIN must name the directory with the programs; make test sets it")
+	}
+	// The directory stays when the test fails, because the logs show why.
+	work, err := os.MkdirTemp("", "coltsfootusher-test-")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs and journals are in %s", work)
+		} else {
+			_ = os.RemoveAll(work)
+		}
+	})
+	f, err := launch.Start(t.Context(), launch.Options{
+		Bin: bin, Profile: "../examples/sablons", Work: work, Seed: seed, NodeSettings: settings,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(f.Stop)
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	assert.NilError(t, f.AwaitReady(ctx))
+	return f
+}
+
+// within waits until the condition holds and returns the time that it took; it fails the test after the bound.
+func within(t *testing.T, bound time.Duration, what string, condition func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for !condition() {
+		if time.Since(begin) > bound {
+			t.Fatalf("not within %s: %s", bound, what)
+		}
+		time.Sleep(pollInterval)
+	}
+	return time.Since(begin)
+}
+
+// all reports whether the condition holds for every VM; the VMs are asked at the same time.
+func all(vms []*launch.VM, condition func(v *launch.VM) bool) bool {
+	var group sync.WaitGroup
+	results := make([]bool, len(vms))
+	for i, v := range vms {
+		group.Go(func() { results[i] = condition(v) })
+	}
+	group.Wait()
+	return !slices.Contains(results, false)
+}
+
+// inDomain returns the VMs that lie in the failure domain, or those that do not.
+func inDomain(f *launch.Fleet, domain string, inside bool) []*launch.VM {
+	var vms []*launch.VM
+	for _, v := range f.VMs {
+		if (v.FailureDomain == domain) == inside {
+			vms = append(vms, v)
+		}
+	}
+	return vms
+}
+
+// statuses returns the status of each node.
+func statuses(t *testing.T, f *launch.Fleet) map[string]launch.Status {
+	t.Helper()
+	result := make(map[string]launch.Status)
+	for _, v := range f.VMs {
+		s, err := v.Status(t.Context())
+		assert.NilError(t, err)
+		result[v.Name] = s
+	}
+	return result
+}
+
+// withdraw removes the keys of the account from the published accounts.
+func withdraw(t *testing.T, f *launch.Fleet, id string) {
+	t.Helper()
+	published, _ := f.Platform.Current(string(fleet.Accounts))
+	section, err := account.Decode(published.Value)
+	assert.NilError(t, err)
+	for i := range section.Accounts {
+		if section.Accounts[i].ID == id {
+			section.Accounts[i].KeyHashes = nil
+		}
+	}
+	value, err := json.Marshal(section)
+	assert.NilError(t, err)
+	_, err = f.Platform.Publish(string(fleet.Accounts), value, platform.AnyVersion)
+	assert.NilError(t, err)
+}
+
+// probe asks an entry for an operation that does not exist, on a connection that is kept alive.
+type probe struct {
+	client *http.Client
+	entry  string
+	key    string
+}
+
+func newProbes(f *launch.Fleet, key string) map[string]probe {
+	probes := make(map[string]probe)
+	for _, v := range f.VMs {
+		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: callerTimeout}
+		probes[v.Name] = probe{client, v.Entry, key}
+	}
+	return probes
+}
+
+// status returns the status of the response, or 0 if there was none.
+func (p probe) status() int {
+	request, err := http.NewRequest(http.MethodGet, "http://"+p.entry+"/.coltsfoot/operations/none", nil)
+	if err != nil {
+		return 0
+	}
+	request.Header.Set(caller.KeyHeader, "Bearer "+p.key)
+	response, err := p.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// lookups returns a load of lookups of all accounts at a share of their rates.
+func lookups(t *testing.T, f *launch.Fleet, seed uint64, duration time.Duration, share float64) *caller.Load {
+	t.Helper()
+	published, _ := f.Platform.Current(string(fleet.Accounts))
+	section, err := account.Decode(published.Value)
+	assert.NilError(t, err)
+	s := caller.Settings{
+		Entries: f.Entries(), DurationMs: duration.Milliseconds(), MaxCalls: 100_000, MaxInFlight: 2000,
+		TimeoutMs: callerTimeout.Milliseconds(), Seed: seed, ClientDelayMs: f.File.ClientDelayMs,
+	}
+	for _, r := range f.File.Load.Routes {
+		if r.Kind == caller.Lookup {
+			s.Routes = append(s.Routes, r)
+		}
+	}
+	for i, k := range f.Keys.Keys {
+		rate := section.Accounts[i].RatePerSecond * share
+		s.Accounts = append(s.Accounts, caller.Account{ID: k.Account, Key: k.Key, RatePerSecond: rate})
+	}
+	l, err := caller.New(s)
+	assert.NilError(t, err)
+	return l
+}
--- /dev/null
+++ b/integration/leaving_test.go
@@ -0,0 +1,79 @@
+package integration
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/vm"
+	"coltsfootusher.example/standin/caller"
+	"coltsfootusher.example/standin/journal"
+	"coltsfootusher.example/standin/launch"
+	"coltsfootusher.example/standin/platform"
+	"coltsfootusher.example/standin/target"
+)
+
+// leavingBound is the time after which a leaving target gets no new work.
+const leavingBound = 3 * time.Second
+
+// Guards against new work for a target that is leaving: it drains while the VM list lags, its node is stopped, or its
+// node is dead.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	seed := seedOf(t)
+	f := start(t, seed, nil)
+	f.Platform.SetVMListLag(10 * time.Second)
+	drained, stopped, killed := f.VM("trails-a1"), f.VM("riders-b1"), f.VM("riders-c1")
+	load := lookups(t, f, seed, 10*time.Second, 0.2)
+	done := make(chan *caller.Result, 1)
+	go func() { done <- load.Run(t.Context()) }()
+	time.Sleep(2 * time.Second)
+	var entries []string
+	for _, v := range f.VMs {
+		if v != stopped && v != killed {
+			entries = append(entries, v.Entry)
+		}
+	}
+	assert.NilError(t, load.SetEntries(entries))
+
+	since := time.Now()
+	assert.NilError(t, drained.SetControls(t.Context(), func(c *target.Controls) { c.Draining = true }))
+	_, err := f.Platform.Publish(string(fleet.VMs), f.VMList(map[string]vm.State{
+		drained.Name: vm.Leaving, stopped.Name: vm.Leaving,
+	}), platform.AnyVersion)
+	assert.NilError(t, err)
+	assert.NilError(t, killed.Node.Signal(syscall.SIGKILL))
+	assert.NilError(t, stopped.Shutdown())
+	result := <-done
+	t.Logf("callers: %v %v", result.Total.ByVerdict, result.Total.ByReason)
+
+	entriesOf, err := f.Journals()
+	assert.NilError(t, err)
+	for _, v := range []*launch.VM{drained, stopped, killed} {
+		before, late, last := starts(entriesOf, v.Name, since)
+		t.Logf("%s: %d starts before it left, the last %s after it", v.Name, before, last)
+		assert.Check(t, before > 0, "%s had work before", v.Name)
+		assert.Check(t, late == 0, "%s got %d requests later than %s", v.Name, late, leavingBound)
+	}
+	assert.Check(t, result.Total.ByVerdict[caller.Complete] > 0)
+}
+
+// starts counts the executions before the time and those after the bound, and returns when the last one began.
+func starts(entries []journal.Entry, target string, since time.Time) (before, late int, last time.Duration) {
+	for _, e := range entries {
+		if e.Target != target || e.Event != journal.Start {
+			continue
+		}
+		after := time.UnixMilli(e.AtUnixMs).Sub(since)
+		last = max(last, after)
+		if after < 0 {
+			before++
+		}
+		if after > leavingBound {
+			late++
+		}
+	}
+	return before, late, last
+}
--- /dev/null
+++ b/integration/preset_test.go
@@ -0,0 +1,161 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/preset"
+	"coltsfootusher.example/standin/launch"
+	"coltsfootusher.example/standin/platform"
+)
+
+// presetBound is the time in which an accepted preset is in force on every live, connected node.
+const presetBound = 5 * time.Second
+
+// history samples the status of all nodes and notes every version of a ready node that is lower than an earlier one,
+// also across restarts.
+type history struct {
+	mu      sync.Mutex
+	highest map[string]map[string]int64
+	fallen  []string
+	samples int
+}
+
+func record(t *testing.T, f *launch.Fleet) *history {
+	h := &history{highest: make(map[string]map[string]int64)}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for _, v := range f.VMs {
+		h.highest[v.Name] = make(map[string]int64)
+		group.Go(func() {
+			for ctx.Err() == nil {
+				if s, err := v.Status(ctx); err == nil && s.Ready {
+					h.add(v.Name, s)
+				}
+				time.Sleep(pollInterval)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		t.Logf("%d samples", h.samples)
+		assert.Check(t, len(h.fallen) == 0, "versions fell: %v", h.fallen)
+	})
+	return h
+}
+
+func (h *history) add(node string, s launch.Status) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.samples++
+	for section, version := range s.Versions {
+		if version < h.highest[node][section] {
+			h.fallen = append(h.fallen, node+" "+section)
+		}
+		h.highest[node][section] = max(version, h.highest[node][section])
+	}
+}
+
+// activate switches the preset as an operator does: it reads, changes and publishes, and starts over when another
+// operator was faster.
+func activate(t *testing.T, f *launch.Fleet, name string) {
+	t.Helper()
+	for {
+		published, _ := f.Platform.Current(string(fleet.Presets))
+		section, err := preset.Decode(published.Value)
+		assert.Check(t, err == nil)
+		section.Active = name
+		value, err := json.Marshal(section)
+		assert.Check(t, err == nil)
+		_, err = f.Platform.Publish(string(fleet.Presets), value, published.Version)
+		if !platform.ErrConflict.Has(err) {
+			assert.Check(t, err == nil)
+			return
+		}
+	}
+}
+
+// awaitInForce waits until every node has the newest published preset.
+func awaitInForce(t *testing.T, f *launch.Fleet) {
+	t.Helper()
+	published, _ := f.Platform.Current(string(fleet.Presets))
+	section, err := preset.Decode(published.Value)
+	assert.NilError(t, err)
+	took := within(t, presetBound, "preset "+section.Active+" in force on every node", func() bool {
+		return all(f.VMs, func(v *launch.VM) bool {
+			s, err := v.Status(t.Context())
+			return err == nil && s.ActivePreset == section.Active && s.Versions["presets"] == published.Version
+		})
+	})
+	t.Logf("%s in force on every node after %s", section.Active, took)
+}
+
+func restart(t *testing.T, f *launch.Fleet, vms []*launch.VM) {
+	t.Helper()
+	assert.Assert(t, all(vms, func(v *launch.VM) bool {
+		v.Node.Kill()
+		return f.StartNode(t.Context(), v) == nil
+	}))
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	assert.NilError(t, f.AwaitReady(ctx))
+}
+
+// Guards against a preset that is late or that reverts: through a stale replica, restarts, cuts and racing operators.
+func TestPresetIsInForceAndNeverReverts(t *testing.T) {
+	seed := seedOf(t)
+	random := rand.New(rand.NewPCG(seed, 1))
+	f := start(t, seed, nil)
+	record(t, f)
+	t.Run("stale replica for one watcher of each domain", func(t *testing.T) {
+		for name, s := range statuses(t, f) {
+			if s.WatcherRank == random.IntN(2) {
+				assert.NilError(t, f.Platform.SetBehaviour(name, platform.Behaviour{Mode: platform.Stale}))
+			}
+		}
+		defer f.Platform.ClearBehaviour("")
+		activate(t, f, "peak")
+		awaitInForce(t, f)
+	})
+	t.Run("healed cut", func(t *testing.T) {
+		for _, other := range []string{"a", "c", launch.PlatformDomain} {
+			f.Network.CutBoth("b", other)
+		}
+		activate(t, f, "ordinary")
+		time.Sleep(time.Second)
+		f.Network.Heal()
+		awaitInForce(t, f)
+	})
+	t.Run("racing operators", func(t *testing.T) {
+		var operators sync.WaitGroup
+		for _, names := range [][]string{{"peak", "ordinary"}, {"maintenance", "peak"}} {
+			operators.Go(func() {
+				for range 10 {
+					activate(t, f, names[0])
+					activate(t, f, names[1])
+				}
+			})
+		}
+		operators.Wait()
+		awaitInForce(t, f)
+	})
+	t.Run("restarts under a stale platform", func(t *testing.T) {
+		stale := platform.Behaviour{Mode: platform.Stale, Versions: map[string]int64{string(fleet.Presets): 1}}
+		assert.NilError(t, f.Platform.SetBehaviour("", stale))
+		defer f.Platform.ClearBehaviour("")
+		for _, v := range f.VMs {
+			restart(t, f, []*launch.VM{v})
+		}
+		awaitInForce(t, f)
+		restart(t, f, inDomain(f, "c", true))
+		awaitInForce(t, f)
+	})
+}
--- /dev/null
+++ b/integration/stop_test.go
@@ -0,0 +1,89 @@
+package integration
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/standin/caller"
+	"coltsfootusher.example/standin/launch"
+)
+
+// leavesListAfter is the time after SIGTERM in which callers take the node off their list of entries.
+const leavesListAfter = 500 * time.Millisecond
+
+// allowedRefusals are the refusals that say that the request was not run and may be sent elsewhere.
+var allowedRefusals = map[call.Reason]bool{
+	call.ReasonLeaving: true, call.ReasonNotReady: true, call.ReasonOverloaded: true, call.ReasonQueueTimeout: true,
+	call.ReasonNoTarget: true, call.ReasonConfirmTimeout: true,
+}
+
+// Guards against a planned stop that cuts requests: a rolling restart of all nodes and targets under load, with callers
+// on kept-alive connections that send each request once.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	seed := seedOf(t)
+	f := start(t, seed, nil)
+	load := lookups(t, f, seed, time.Hour, 0.3)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan *caller.Result, 1)
+	go func() { done <- load.Run(ctx) }()
+	time.Sleep(2 * time.Second)
+	for _, group := range restartGroups(f) {
+		replace(t, f, load, group)
+	}
+	time.Sleep(time.Second)
+	cancel()
+	total := (<-done).Total
+	t.Logf("due %d, verdicts %v, refusals %v", total.Due, total.ByVerdict, total.ByReason)
+	for _, verdict := range []caller.Verdict{caller.Broken, caller.Truncated, caller.TimedOut, caller.Wrong, caller.Omitted} {
+		assert.Check(t, total.ByVerdict[verdict] == 0, "%d calls ended as %s", total.ByVerdict[verdict], verdict)
+	}
+	for reason, count := range total.ByReason {
+		assert.Check(t, allowedRefusals[call.Reason(reason)], "%d calls were refused for %s", count, reason)
+	}
+}
+
+// restartGroups returns VMs that are restarted together: at most one of each service at a time.
+func restartGroups(f *launch.Fleet) [][]*launch.VM {
+	var groups [][]*launch.VM
+	seen := make(map[string]int)
+	for _, v := range f.VMs {
+		index := seen[v.Service]
+		seen[v.Service]++
+		if index == len(groups) {
+			groups = append(groups, nil)
+		}
+		groups[index] = append(groups[index], v)
+	}
+	return groups
+}
+
+func replace(t *testing.T, f *launch.Fleet, load *caller.Load, group []*launch.VM) {
+	t.Helper()
+	leaving := make(map[*launch.VM]bool)
+	for _, v := range group {
+		leaving[v] = true
+	}
+	var entries []string
+	for _, v := range f.VMs {
+		if !leaving[v] {
+			entries = append(entries, v.Entry)
+		}
+	}
+	listed := time.AfterFunc(leavesListAfter, func() { _ = load.SetEntries(entries) })
+	defer listed.Stop()
+	assert.Assert(t, all(group, func(v *launch.VM) bool {
+		err := v.Shutdown()
+		assert.Check(t, err == nil, "%s: %v", v.Name, err)
+		_ = v.TargetProcess.Stop(callerTimeout)
+		return f.StartTarget(t.Context(), v) == nil && f.StartNode(t.Context(), v) == nil
+	}))
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	assert.NilError(t, f.AwaitReady(ctx))
+	assert.NilError(t, load.SetEntries(f.Entries()))
+}
--- a/standin/launch/operator.go
+++ b/standin/launch/operator.go
@@ -19,6 +19,11 @@
 	Leaving      bool             `json:"leaving"`
 	ActivePreset string           `json:"activePreset"`
 	Versions     map[string]int64 `json:"versions"`
+	// AgesMs are the times since the sections were last confirmed as current.
+	AgesMs map[string]int64 `json:"agesMs"`
+	// WatcherRank is -1 on a node that does not watch the platform.
+	WatcherRank int  `json:"watcherRank"`
+	Held        bool `json:"held"`
 }
 
 const requestTimeout = 2 * time.Second
