Ask again at once after a reply with notices

Cause: a reply without new versions made a node wait until 1 s after its last call.

Change: a reply with notices counts as news for the pace of calls.

--- a/coltsfootd/control/call.go
+++ b/coltsfootd/control/call.go
@@ -130,7 +130,10 @@
 		news = l.applied(l.store.ApplyUpdates(decodeUpdates(reply.Updates, v.Name), source, now)) || news
 	}
 	l.store.ConfirmPeer(name, versions, now)
-	l.reader.Done(action.ID, config.Reply{Answered: true, News: news, Complete: complete}, now)
+	// After a reply with notices only, the next call must not wait either: more notices may follow at once.
+	l.reader.Done(action.ID, config.Reply{
+		Answered: true, News: news || len(reply.Notices) > 0, Complete: complete,
+	}, now)
 	if complete {
 		l.pause.Confirm(sentAt)
 	}
