Count a node that stays silent until the deadline as failed

Cause: while a failure domain is cut off, calls to its nodes hang until their deadline, and the balancer took a passed deadline for a fault of the caller, so such a node was never ejected. Change: an attempt that ends at the deadline, after at least one second and without any answer from the node, counts as a failure. Shorter deadlines come from the callers and don't count.

--- a/coltsfootd/passage/passage.go
+++ b/coltsfootd/passage/passage.go
@@ -212,7 +212,7 @@
 	r.Allowance.Give(min(a.Result.AllowanceLeft, c.Allowance))
 	report := balance.Report{
 		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
-		Failed:    unreachable(a.Result.Reason),
+		Failed:    unreachable(a.Result.Reason) || silent(a, time.Since(start)),
 		Refused:   !a.OK() && a.Result.Run == call.NotRun,
 	}
 	if a.Result.Node != "" {
@@ -254,6 +254,15 @@
 	}
 }
 
+// minSilence is the wait without an answer that counts against a node. Shorter ones come from callers with short
+// deadlines and say nothing about the node.
+const minSilence = time.Second
+
+// silent reports whether nothing came back from the node, as when the network between two failure domains is cut.
+func silent(a answer.Answer, waited time.Duration) bool {
+	return a.Result.Node == "" && a.Result.Reason == call.ReasonDeadlineExceeded && waited >= minSilence
+}
+
 func (s *Sender) record(c call.Call, action string, choice balance.Choice, reason call.Reason) {
 	s.Recorder.Record(decision.Decision{
 		AtMs: s.Clock.Now(), Part: "passage", RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
