--- a/coltsfootd/gateway/admission.go
+++ b/coltsfootd/gateway/admission.go
@@ -21,18 +21,32 @@
 	gate    *gate.Gate
 	waiting map[uint64]chan gate.Decision
 	nextID  uint64
+	// queued holds a token while calls may be waiting, so that the ticks rest when none is.
+	queued chan struct{}
 }
 
 // NewAdmission returns the admission control round g.
 func NewAdmission(g *gate.Gate, c clock.Clock) *Admission {
-	return &Admission{clock: c, gate: g, waiting: make(map[uint64]chan gate.Decision)}
+	return &Admission{clock: c, gate: g, waiting: make(map[uint64]chan gate.Decision), queued: make(chan struct{}, 1)}
 }
 
 // Run expires waiting calls until ctx ends.
 func (a *Admission) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.queued:
+			a.tick(ctx)
+		}
+	}
+}
+
+// tick expires waiting calls until none is left or ctx ends.
+func (a *Admission) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
+	for a.anyWaiting() {
 		select {
 		case <-ctx.Done():
 			return
@@ -42,6 +56,12 @@
 	}
 }
 
+func (a *Admission) anyWaiting() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.waiting) > 0
+}
+
 // Update changes the gate and delivers the decisions that follow.
 func (a *Admission) Update(change func(g *gate.Gate, now clock.Millis) []gate.Decision) {
 	a.mu.Lock()
@@ -64,6 +84,10 @@
 	default:
 	}
 	select {
+	case a.queued <- struct{}{}:
+	default:
+	}
+	select {
 	case d := <-decided:
 		return d
 	case <-ctx.Done():
