Report a node as ready only when its seats hold tokens

Cause: TestRequestRunsOnlyForTheAccountOfItsKey and TestForgedInnerAndPeerCallsAreRefused failed after limits were enforced: seats start empty and mint only after the lease of a possible earlier owner, so a fleet that has just started refused calls inside the rate.

Change: status "ready" also waits until the node's seats were usable for a lease and a second; tests and the demo already wait for it.

Measured: both tests failed before; after it go test -race ./integration -run 'TestRequestRuns|TestForged|TestNoTarget|TestLimitHolds/even' passes.

--- a/coltsfootd/limits/exchange.go
+++ b/coltsfootd/limits/exchange.go
@@ -260,6 +260,12 @@
 			}
 		}
 	}
+	if waiting > 0 {
+		l.mintingSince = clock.Never
+	} else if l.mintingSince == clock.Never {
+		l.mintingSince = now
+	}
+	l.ready = l.ready || l.mintingSince != clock.Never && now >= l.mintingSince+l.Lease+fillTime
 	l.counters.seatsOwned.Set(owned)
 	l.counters.fencesWaiting.Set(waiting)
 	l.counters.available.Set(available)
--- a/coltsfootd/limits/limits.go
+++ b/coltsfootd/limits/limits.go
@@ -25,6 +25,8 @@
 	drawTick = 100 * time.Millisecond
 	// reportTick is the interval at which missing reports and releases are asked for.
 	reportTick = 250 * time.Millisecond
+	// fillTime is the time after the first minting until the node counts as ready.
+	fillTime clock.Millis = 1000
 	// minRetryAfter is the least time after which a refused caller is told to come back.
 	minRetryAfter clock.Millis = 50
 )
@@ -76,8 +78,11 @@
 	// futile holds the accounts whose last search was in vain.
 	futile    map[string]bool
 	slowUntil clock.Millis
-	lastTick  clock.Millis
-	turn      uint64
+	// mintingSince is the time at which the node could use all its seats for the first time, or clock.Never.
+	mintingSince clock.Millis
+	ready        bool
+	lastTick     clock.Millis
+	turn         uint64
 }
 
 // New returns limits that own no seat until Run has read the published values.
@@ -85,6 +90,9 @@
 	if config.Fence == 0 {
 		config.Fence = seat.DefaultFence
 	}
+	if config.Lease == 0 {
+		config.Lease = limit.DefaultLease
+	}
 	if config.Margin == 0 {
 		config.Margin = seat.DefaultMargin
 	}
@@ -92,7 +100,7 @@
 		Config: config, wallet: limit.NewWallet(limit.WalletConfig{}), lists: make(map[string]seat.List),
 		vms: make(map[string]vm.VM), down: make(map[string]clock.Millis), pending: make(map[string]*pendingReturn),
 		searches: make(map[string]*search), budgets: make(map[string]*budget), futile: make(map[string]bool),
-		lastTick: config.Clock.Now(), turn: rand.Uint64(),
+		lastTick: config.Clock.Now(), mintingSince: clock.Never, turn: rand.Uint64(),
 	}
 	l.seats = newOwnership(config)
 	l.minter = limit.NewMinter(l.seats.domain, config.Lease)
@@ -119,6 +127,14 @@
 	return false, minRetryAfter + clock.Millis(gap*(1+rand.Float64()))
 }
 
+// Ready reports whether this node's seats were usable for long enough to hold tokens; before that, a fleet that has
+// just started refuses calls inside the rate.
+func (l *Limits) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ready
+}
+
 // Run keeps the seats, the stock and the reports up to date until ctx ends.
 func (l *Limits) Run(ctx context.Context) {
 	var group sync.WaitGroup
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -257,7 +257,7 @@
 	snapshot := n.control.Current()
 	return operator.Status{
 		Node: n.settings.NodeName, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain,
-		Service: n.settings.Service, Leaving: n.leaving.Load(), Ready: snapshot.Complete(),
+		Service: n.settings.Service, Leaving: n.leaving.Load(), Ready: snapshot.Complete() && n.limits.Ready(),
 		ActivePreset: snapshot.Presets.Active, Versions: snapshot.Versions, Load: n.admission.Load(), InFlight: n.inFlight.Len(),
 	}
 }
