--- a/coltsfootd/entry/log_test.go
+++ b/coltsfootd/entry/log_test.go
@@ -19,7 +19,6 @@
 	"coltsfootusher.example/coltsfootd/entry"
 	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/coltsfootd/metric"
-	"coltsfootusher.example/coltsfootd/operations"
 	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/coltsfootd/passage"
 	"coltsfootusher.example/core/account"
@@ -45,6 +44,10 @@
 	return answer.Answer{Status: http.StatusOK, Header: http.Header{}, Result: call.Result{Run: call.WasRun}}
 }
 
+type noLimit struct{}
+
+func (noLimit) Admit(context.Context, account.Account) (bool, clock.Millis) { return true, 0 }
+
 // noOperations knows of no operation.
 type noOperations struct{}
 
@@ -81,7 +84,7 @@
 	recorder := decision.New("riders-a1", logging.New(&logs, "logfmt", "debug", "riders-a1"), metrics, 100, 100)
 	values := fixed{snapshot(t)}
 	handler := entry.New(entry.Config{
-		Node: "riders-a1", Clock: clock.NewFake(1_000), Snapshots: values, Holder: values, Limiter: operations.NoLimit{},
+		Node: "riders-a1", Clock: clock.NewFake(1_000), Snapshots: values, Holder: values, Limiter: noLimit{},
 		Operations: noOperations{}, Throttle: retry.NewThrottle(rand.New(rand.NewPCG(1, 1))), Sender: sender{}, Recorder: recorder, Calls: metric.NewCallCounter(metrics), MaxBody: 1 << 10,
 	})
 	var ids []string
--- a/coltsfootd/node/control.go
+++ b/coltsfootd/node/control.go
@@ -62,7 +62,7 @@
 		Node: n.settings.NodeName, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain,
 		Service: n.settings.Service, Leaving: n.leaving.Load(), LeavingReasons: n.drainage.list(),
 		ActivePreset: snapshot.Presets.Active, Versions: snapshot.Versions, Load: n.admission.Load(),
-		InFlight: n.inFlight.Len(),
+		InFlight: n.inFlight.Len(), LimitsReady: n.limits.Ready(),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
--- a/coltsfootd/node/leaving.go
+++ b/coltsfootd/node/leaving.go
@@ -117,6 +117,8 @@
 	var failures errs.Group
 	// The peers can still ask for outcomes while the table is handed over.
 	failures.Add(n.closeOperations(ctx))
+	// No caller's call is left, so no token is needed.
+	n.limits.Close(ctx)
 	for _, srv := range n.servers {
 		if err := srv.http.Shutdown(ctx); err != nil {
 			failures.Add(Error.New("%s: requests were cut after drainTimeoutMs: %v", srv.name, err))
--- /dev/null
+++ b/coltsfootd/node/limits.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"expvar"
+
+	"coltsfootusher.example/coltsfootd/limits"
+	"coltsfootusher.example/coltsfootd/logging"
+	"coltsfootusher.example/coltsfootd/peerserver"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/operation"
+	"coltsfootusher.example/core/seat"
+	"coltsfootusher.example/core/vm"
+)
+
+// buildLimits makes the node's part in the fleet-wide limits.
+func (n *Node) buildLimits(metrics *expvar.Map) {
+	s := n.settings
+	n.limits = limits.New(limits.Config{
+		Node: s.NodeName, FailureDomain: s.FailureDomain, Service: s.Service, Incarnation: n.incarnation, Clock: n.clock,
+		Snapshots: n.control, Peers: n.peers, Sender: peerserver.Sender,
+		Fence: s.SeatFenceMs, Margin: s.SeatFenceMarginMs, Lease: s.LeaseMs, PauseThreshold: s.PauseThresholdMs,
+		Logger: logging.Part(n.logger, "limits"), Metrics: metrics,
+	})
+}
+
+// operationSeats is the fenced ownership of the seats of services, as once-only operations use it.
+type operationSeats struct {
+	domain  string
+	service string
+	control interface{ Current() *fleet.Snapshot }
+	owned   *limits.ServiceSeats
+}
+
+func (n *Node) operationSeats() operationSeats {
+	return operationSeats{
+		domain: n.settings.FailureDomain, service: n.settings.Service, control: n.control, owned: n.limits.ServiceSeats(),
+	}
+}
+
+// Owner returns the VM that any node asks for the seat; empty if the domain has no live VM of the service.
+func (o operationSeats) Owner(service string, s operation.Seat) string {
+	snapshot := o.control.Current()
+	var names []string
+	for _, v := range snapshot.VMsOfService(service) {
+		if v.FailureDomain == s.Domain && v.State == vm.Live {
+			names = append(names, v.Name)
+		}
+	}
+	return seat.NewList(snapshot.Versions[fleet.VMs], names).Owner(seat.Key(service, s.Domain, s.Index))
+}
+
+// Owned reports since when this node has owned the seat without interruption.
+func (o operationSeats) Owned(service string, s operation.Seat, now clock.Millis) (clock.Millis, bool) {
+	if service != o.service || s.Domain != o.domain {
+		return 0, false
+	}
+	return o.owned.Owned(seat.Key(service, s.Domain, s.Index), now)
+}
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -24,6 +24,7 @@
 	"coltsfootusher.example/coltsfootd/gateway"
 	"coltsfootusher.example/coltsfootd/health"
 	"coltsfootusher.example/coltsfootd/inflight"
+	"coltsfootusher.example/coltsfootd/limits"
 	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/coltsfootd/metric"
 	"coltsfootusher.example/coltsfootd/operations"
@@ -77,7 +78,7 @@
 	target    *gateway.Target
 
 	operations *operations.Service
-	seats      *operations.ListSeats
+	limits     *limits.Limits
 	suspects   *suspect.Guard
 
 	servers []*server
@@ -116,6 +117,7 @@
 	}
 	metric.Publish(metrics, n.status)
 	n.balancer = passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain))
+	n.buildLimits(metrics)
 	if err := n.buildOperations(secret); err != nil {
 		return nil, err
 	}
@@ -149,7 +151,7 @@
 		Balancer: n.balancer, Budget: n.budget, Recorder: n.recorder,
 	})
 	n.entry = entry.New(entry.Config{
-		Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Holder: n.control, Limiter: operations.NoLimit{},
+		Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Holder: n.control, Limiter: n.limits,
 		Operations: ops, Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))), Sender: sender,
 		Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes, Calls: metric.NewCallCounter(metrics),
 	})
@@ -204,6 +206,7 @@
 	go n.control.Run(background)
 	go n.admission.Run(background)
 	go n.suspects.Run(background)
+	go n.limits.Run(background)
 	go n.configure(background)
 	go n.health.Run(background)
 	failed := make(chan error, len(n.servers))
--- a/coltsfootd/node/operations.go
+++ b/coltsfootd/node/operations.go
@@ -24,10 +24,9 @@
 	if err != nil {
 		return err
 	}
-	n.seats = operations.NewListSeats(s.NodeName, s.SeatFenceMs, n.control)
 	n.operations = operations.New(operations.Config{
 		Node: s.NodeName, FailureDomain: s.FailureDomain, Service: s.Service, Incarnation: n.incarnation, Clock: n.clock,
-		Snapshots: n.control, Peers: n.control, Balancer: n.balancer, Seats: n.seats,
+		Snapshots: n.control, Peers: n.control, Balancer: n.balancer, Seats: n.operationSeats(),
 		Controls: n.peers, Codec: codec,
 		Table: operation.Config{
 			Node: s.NodeName, Incarnation: n.incarnation, RetentionMs: s.OperationRetentionMs,
@@ -55,6 +54,7 @@
 func (n *Node) controlParts() peerserver.Parts {
 	return peerserver.Parts{
 		Synchronizer: synchronizer{Loop: n.control, suspects: n.suspects},
+		Minter:       n.limits,
 		Operations:   n.operations,
 	}
 }
--- a/coltsfootd/operator/operator.go
+++ b/coltsfootd/operator/operator.go
@@ -22,6 +22,8 @@
 	// LeavingReasons say why the gate refuses new work.
 	LeavingReasons []string `json:"leavingReasons,omitempty"`
 	Ready          bool     `json:"ready"`
+	// LimitsReady is false until this node's seats hold tokens after its start.
+	LimitsReady bool `json:"limitsReady"`
 	// Held is true while requests wait because the process was paused and has not confirmed its versions.
 	Held bool `json:"held"`
 	// Pauses is the number of pauses since the start.
--- a/coltsfootd/peerserver/control.go
+++ b/coltsfootd/peerserver/control.go
@@ -20,6 +20,7 @@
 type Minter interface {
 	Draw(ctx context.Context, r *peerpb.DrawRequest) (*peerpb.DrawReply, error)
 	ReturnTokens(ctx context.Context, r *peerpb.ReturnTokensRequest) (*peerpb.ReturnTokensReply, error)
+	ReportSeats(ctx context.Context, r *peerpb.SeatReport) (*peerpb.SeatReport, error)
 	ReleaseSeat(ctx context.Context, r *peerpb.ReleaseSeatRequest) (*peerpb.ReleaseSeatReply, error)
 }
 
@@ -78,6 +79,10 @@
 	return nil, missing("ReturnTokens")
 }
 
+func (unimplemented) ReportSeats(context.Context, *peerpb.SeatReport) (*peerpb.SeatReport, error) {
+	return nil, missing("ReportSeats")
+}
+
 func (unimplemented) ReleaseSeat(context.Context, *peerpb.ReleaseSeatRequest) (*peerpb.ReleaseSeatReply, error) {
 	return nil, missing("ReleaseSeat")
 }
--- a/standin/launch/operator.go
+++ b/standin/launch/operator.go
@@ -16,6 +16,7 @@
 	Node         string           `json:"node"`
 	Incarnation  string           `json:"incarnation"`
 	Ready        bool             `json:"ready"`
+	LimitsReady  bool             `json:"limitsReady"`
 	Leaving      bool             `json:"leaving"`
 	ActivePreset string           `json:"activePreset"`
 	Versions     map[string]int64 `json:"versions"`
@@ -90,9 +91,9 @@
 	return Error.Wrap(json.NewDecoder(response.Body).Decode(reply))
 }
 
-// AwaitReady waits until every node has read all published values.
+// AwaitReady waits until every node has read all published values and its seats hold tokens.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
-	return f.Await(ctx, func(s Status) bool { return s.Ready })
+	return f.Await(ctx, func(s Status) bool { return s.Ready && s.LimitsReady })
 }
 
 // AwaitPreset waits until the preset is in force on every running node.
