--- a/core/route/route.go
+++ b/core/route/route.go
@@ -45,14 +45,7 @@
 
 // Decode parses and checks the published value.
 func Decode(data json.RawMessage) (Section, error) {
-	var section Section
-	if err := strictjson.Unmarshal(data, &section); err != nil {
-		return Section{}, Error.Wrap(err)
-	}
-	if err := section.Validate(); err != nil {
-		return Section{}, err
-	}
-	return section, nil
+	return strictjson.Decode[Section](data, &Error)
 }
 
 // Validate reports the first route that is incomplete or listed twice.
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -37,14 +37,7 @@
 
 // Decode parses and checks the published value.
 func Decode(data json.RawMessage) (Section, error) {
-	var section Section
-	if err := strictjson.Unmarshal(data, &section); err != nil {
-		return Section{}, Error.Wrap(err)
-	}
-	if err := section.Validate(); err != nil {
-		return Section{}, err
-	}
-	return section, nil
+	return strictjson.Decode[Section](data, &Error)
 }
 
 // Validate reports the first service that is incomplete, listed twice or in an unknown failure domain.
--- a/core/strictjson/strictjson.go
+++ b/core/strictjson/strictjson.go
@@ -23,3 +23,20 @@
 	}
 	return nil
 }
+
+// Validator is a value that checks itself.
+type Validator interface {
+	Validate() error
+}
+
+// Decode decodes a value and checks it; decoding errors are wrapped in class.
+func Decode[T Validator](data []byte, class *errs.Class) (T, error) {
+	var value, zero T
+	if err := Unmarshal(data, &value); err != nil {
+		return zero, class.Wrap(err)
+	}
+	if err := value.Validate(); err != nil {
+		return zero, err
+	}
+	return value, nil
+}
--- a/standin/capacity/capacity.go
+++ b/standin/capacity/capacity.go
@@ -34,7 +34,7 @@
 	r.printf("go=%s", runtime.Version())
 	r.printf("cpus=%d", runtime.NumCPU())
 	for _, measure := range []func() error{
-		r.accounts, r.vms, r.members, r.readers, r.balancers, r.gates, r.calls, r.messages, r.operations,
+		r.accounts, r.vms, r.members, r.readers, r.balancers, r.gates, r.calls, r.messages, r.operations, r.limits,
 	} {
 		if err := measure(); err != nil {
 			return err
@@ -43,8 +43,6 @@
 			return Error.Wrap(ctx.Err())
 		}
 	}
-	// Tokens and leases join the core with the fleet-wide limits.
-	r.printf("limits=notMeasured")
 	return nil
 }
 
