Take statements about a request only from nodes

Seen failing before the change: TestStatementsOfNodesAreNotTakenFromTargets, the four headers were in the answer. Measured: the test fails before and passes after; coltsfootd/gateway passes. Conclusion: only nodes speak for the fleet.

--- a/coltsfootd/answer/answer.go
+++ b/coltsfootd/answer/answer.go
@@ -92,6 +92,14 @@
 	"Coltsfoot-Context":   true,
 }
 
+// DropStatements removes the headers in which only nodes make statements about a request. A target that copies the
+// headers of an inner answer would otherwise tell its caller that the request was not run.
+func DropStatements(header http.Header) {
+	for _, name := range []string{ReasonHeader, RunHeader, RequestHeader, NodeHeader, OutcomeHeader} {
+		header.Del(name)
+	}
+}
+
 // Write sends the answer. When the body of a large answer ends early it aborts the connection,
 // so that the receiver can't take the part for the whole.
 func (a Answer) Write(w http.ResponseWriter) {
--- a/coltsfootd/gateway/target.go
+++ b/coltsfootd/gateway/target.go
@@ -118,7 +118,7 @@
 		}
 		return refuse(c, call.ReasonOverloaded)
 	}
-	a.Header.Del(answer.RequestHeader)
+	answer.DropStatements(a.Header)
 	a.Result.Run = call.WasRun
 	return a
 }
--- a/coltsfootd/gateway/target_test.go
+++ b/coltsfootd/gateway/target_test.go
@@ -70,3 +70,14 @@
 		})
 	}
 }
+
+// Guards against a target that passes on what a node said about one of its inner calls: its caller would take "not run"
+// for a statement about its own operation.
+func TestStatementsOfNodesAreNotTakenFromTargets(t *testing.T) {
+	target := NewTarget(serveRaw(t, "HTTP/1.1 502 Failed\nOperation-Outcome: notRun\nColtsfoot-Run: notRun\n"+
+		"Coltsfoot-Reason: overloaded\nColtsfoot-Node: x\nContent-Type: text/plain\nContent-Length: 2\n\nok"), 1, 1000)
+	c := call.Call{RequestID: "r", Method: http.MethodPost, Path: "/pay"}
+	a := target.Do(t.Context(), c, "handle", http.Header{}, nil, 1000)
+	assert.Equal(t, a.Result.Run, call.WasRun)
+	assert.DeepEqual(t, a.Header, http.Header{"Content-Type": {"text/plain"}, "Content-Length": {"2"}})
+}
