--- a/coltsfootd/entry/entry.go
+++ b/coltsfootd/entry/entry.go
@@ -194,6 +194,12 @@
 func (h *Handler) admitAndSend(
 	ctx context.Context, r *http.Request, c call.Call, acct account.Account, p preset.Preset, body []byte, received clock.Millis,
 ) *answer.Answer {
+	throttled := c.Class == route.Lookup && p.Policy == preset.On
+	key := retry.ThrottleKey{Account: c.Account, Route: c.Route}
+	// The throttle comes first, so that a call that it refuses costs the account no token.
+	if throttled && !h.Throttle.Admit(key, h.Clock.Now()) {
+		return h.refuse(c, call.ReasonOverloaded, received)
+	}
 	if acct.ID != "" && p.Policy == preset.On {
 		if ok, retryAfter := h.Limiter.Admit(ctx, acct); !ok {
 			a := h.refuse(c, call.ReasonOverRate, received)
@@ -201,11 +207,6 @@
 			return a
 		}
 	}
-	throttled := c.Class == route.Lookup && p.Policy == preset.On
-	key := retry.ThrottleKey{Account: c.Account, Route: c.Route}
-	if throttled && !h.Throttle.Admit(key, h.Clock.Now()) {
-		return h.refuse(c, call.ReasonOverloaded, received)
-	}
 	a := h.Sender.Send(ctx, passage.Request{
 		Call: c, Header: forwardedHeader(r.Header), Body: body,
 		Deadline: received + c.TimeoutMs, Allowance: retry.NewAllowance(p.RetryAllowance),
