Never choose an address for two fleets of one process

Cause: TestRetriesAreBoundedAlongTheChain failed once in 5 tests at a time: "coltsfootd ended before it had started". Change: the launcher remembers the addresses that it has chosen. Conclusion: the gap is closed within one process; fleets of different processes have networks of their own.

--- a/standin/launch/launch.go
+++ b/standin/launch/launch.go
@@ -251,11 +251,18 @@
 	return nil
 }
 
+// chosen holds the addresses that fleets of this process have taken, because an address is free for a moment between
+// its choice and the start of the process that listens there, and another fleet must not take it then.
+var chosen sync.Map
+
 func listenOnFreePort(ip string) (net.Listener, error) {
 	var err error
 	for range portAttempts {
 		var listener net.Listener
 		port := firstPort + randv2.IntN(lastPort-firstPort)
+		if _, taken := chosen.LoadOrStore(fmt.Sprintf("%s:%d", ip, port), true); taken {
+			continue
+		}
 		if listener, err = server.Listen(context.Background(), fmt.Sprintf("%s:%d", ip, port)); err == nil {
 			return listener, nil
 		}
