--- a/coltsfootd/limits/counters.go
+++ b/coltsfootd/limits/counters.go
@@ -8,7 +8,6 @@
 	drawn, minted, held, available     *expvar.Float
 	seatsOwned, fencesWaiting, pauses  *expvar.Int
 	draws, returns, reports, releases  *expvar.Int
-	bytesIn, bytesOut                  *expvar.Int
 	refused                            *expvar.Map
 }
 
@@ -29,7 +28,7 @@
 		held: amount("limitTokensHeld"), available: amount("limitTokensAvailable"), seatsOwned: count("limitSeatsOwned"),
 		fencesWaiting: count("limitFencesWaiting"), pauses: count("limitPauses"), draws: count("limitDraws"),
 		returns: count("limitReturns"), reports: count("limitReports"), releases: count("limitReleases"),
-		bytesIn: count("limitBytesIn"), bytesOut: count("limitBytesOut"), refused: new(expvar.Map).Init(),
+		refused: new(expvar.Map).Init(),
 	}
 	metrics.Set("limitRefused", c.refused)
 	return c
--- a/integration/limit_test.go
+++ b/integration/limit_test.go
@@ -435,7 +435,7 @@
 	t.Helper()
 	cost := make(map[string]float64)
 	for _, name := range []string{
-		"limitBytesIn", "limitBytesOut", "limitDraws", "limitReturns", "limitReports", "limitReleases", "limitWaits",
+		"controlBytesIn", "controlBytesOut", "limitDraws", "limitReturns", "limitReports", "limitReleases", "limitWaits",
 		"limitWaitMs", "limitTokensDrawn", "limitTokensMinted", "limitExhausted", "limitPauses",
 	} {
 		cost[name] = limitTotal(t, f, name)
