--- a/coltsfootd/cmd/cmd.go
+++ b/coltsfootd/cmd/cmd.go
@@ -59,6 +59,8 @@
 
 	runCommand := app.Command("run", "Run the node until it is told to stop (SIGTERM or SIGINT).")
 	runConfig := runCommand.Flag("config", "Settings file (YAML).").Required().ExistingFile()
+	meshCommand := app.Command("mesh", "Run a node on the users' platform until it is told to stop.")
+	meshConfig := meshCommand.Flag("config", "Settings file (YAML).").Required().ExistingFile()
 	checkCommand := app.Command("check", "Check a settings file and exit.")
 	checkConfig := checkCommand.Arg("file", "Settings file (YAML).").Required().ExistingFile()
 
@@ -70,6 +72,8 @@
 	switch command {
 	case runCommand.FullCommand():
 		err = run(*runConfig, stdout, stderr)
+	case meshCommand.FullCommand():
+		err = runMesh(*meshConfig, stdout)
 	case checkCommand.FullCommand():
 		return check(*checkConfig, stdout, stderr)
 	}
--- /dev/null
+++ b/coltsfootd/cmd/mesh.go
@@ -0,0 +1,57 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"coltsfootusher.example/coltsfootd/logging"
+	"coltsfootusher.example/coltsfootd/mesh"
+	"coltsfootusher.example/coltsfootd/meshsetting"
+	"coltsfootusher.example/platform"
+)
+
+const (
+	platformDialTimeout = 500 * time.Millisecond
+	platformKeepAlive   = time.Second
+	platformIdleConns   = 4
+)
+
+// runMesh runs a node on the users' platform until it is told to stop.
+func runMesh(path string, stdout io.Writer) error {
+	settings, err := meshsetting.Load(path)
+	if err != nil {
+		return err
+	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	logs := logging.NewAsync(stdout)
+	defer func() { _ = logs.Close() }()
+	store := platform.New(settings.PlatformAddress, settings.Peer().Port(), platformTransport())
+	n, err := mesh.New(settings, store, platform.Dialect{}, logs)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings of a node don't change while it runs.
+	signal.Ignore(syscall.SIGHUP)
+	return n.Run(ctx)
+}
+
+// platformTransport keeps few connections and finds out soon when one has gone silent.
+func platformTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: platformDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: platformKeepAlive, Interval: platformKeepAlive, Count: 2,
+	}}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: platformIdleConns, DisableCompression: true,
+	}
+}
--- /dev/null
+++ b/coltsfootd/directory/directory.go
@@ -0,0 +1,335 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/coltsfootd/peers"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/freshness"
+	"coltsfootusher.example/core/published"
+	"coltsfootusher.example/core/roster"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	eventQueue   = 256
+	// readTimeout leaves room for a platform that answers many times slower than usual.
+	readTimeout = 900 * time.Millisecond
+	// readRetryMs is the pause after a read that failed.
+	readRetryMs clock.Millis = 150
+	// watchWaitMs is the time that the platform may hold a watch.
+	watchWaitMs clock.Millis = 15_000
+	watchGrace               = 2 * time.Second
+	watchRetry               = 250 * time.Millisecond
+	// relistMs is how often a reader reads the whole list of targets, in case a watch has gone deaf.
+	relistMs clock.Millis = 3000
+	// readerMs is the time after its last own read for which a node watches the platform although another is to read it.
+	readerMs    clock.Millis = 3000
+	askTimeout               = 300 * time.Millisecond
+	askRetryMs  clock.Millis = 100
+	pushTimeout              = 400 * time.Millisecond
+)
+
+// schedule refreshes the confirmation early enough for several failed tries within a lease of a few seconds.
+var schedule = freshness.Schedule{ReadEveryMs: 1000, AskEveryMs: 700, TakeoverMs: 1700, RankStepMs: 200}
+
+// Source reads what the platform publishes.
+type Source interface {
+	Policy(ctx context.Context) (published.Policy, error)
+	// Targets returns the whole list, and notes on entries that could not be used.
+	Targets(ctx context.Context) (roster.Delta, []error, error)
+	// WatchTargets waits for changes after the revision.
+	WatchTargets(ctx context.Context, after int64, wait clock.Millis) (roster.Delta, []error, error)
+	// WatchPolicy waits for a policy written after the revision; it is nil if there was none.
+	WatchPolicy(ctx context.Context, after int64, wait clock.Millis) (*published.Policy, int64, error)
+}
+
+// Config are the settings and dependencies of a Directory.
+type Config struct {
+	// Address is this node's own peer address.
+	Address       string
+	FailureDomain string
+	Incarnation   uint64
+	// LeaseMs is the age of the confirmation up to which keys are accepted.
+	LeaseMs clock.Millis
+	Clock   clock.Clock
+	Source  Source
+	Peers   *peers.Table
+	Logger  log.Logger
+}
+
+// View is what traffic sees of the published values.
+type View struct {
+	*fleet.Snapshot
+	PolicyVersion int64
+	KeysRequired  bool
+	Bounds        published.CallerBounds
+	// Neighbours are the peer addresses of the own failure domain and Others those of each other domain, this node's
+	// own address included.
+	Neighbours []string
+	Others     map[string][]string
+}
+
+// Directory holds the published values. The goroutine in Run owns all state but the atomic fields.
+type Directory struct {
+	Config
+	events  chan func(now clock.Millis)
+	stopped chan struct{}
+	random  *rand.Rand
+
+	view        atomic.Pointer[View]
+	confirmedAt atomic.Int64
+
+	lease  freshness.Lease
+	policy *published.Policy
+	roster *roster.Roster
+	// listed is true once a list of targets was read.
+	listed bool
+
+	reading, asking     bool
+	readAfter, askAfter clock.Millis
+	lastRead            clock.Millis
+	asked               int
+	relistAt            clock.Millis
+	relisting           bool
+	platformLost        bool
+	stopWatch           context.CancelFunc
+}
+
+// New returns a directory that knows nothing yet.
+func New(c Config) *Directory {
+	d := &Directory{
+		Config: c, events: make(chan func(clock.Millis), eventQueue), stopped: make(chan struct{}), roster: roster.New(),
+		random: rand.New(rand.NewPCG(c.Incarnation, uint64(c.Clock.Now()))),
+	}
+	d.confirmedAt.Store(int64(clock.Never))
+	return d
+}
+
+// View returns the values in force, nil before the first policy and list are known.
+func (d *Directory) View() *View {
+	return d.view.Load()
+}
+
+// Age returns the time since the policy was last confirmed to be the newest, or clock.Never.
+func (d *Directory) Age() clock.Millis {
+	at := clock.Millis(d.confirmedAt.Load())
+	if at == clock.Never {
+		return clock.Never
+	}
+	return max(0, d.Clock.Now()-at)
+}
+
+// Fresh reports whether keys may be accepted: the policy was confirmed recently enough for every withdrawal of a key to
+// be known in time.
+func (d *Directory) Fresh() bool {
+	return d.Age() < d.LeaseMs
+}
+
+// Run keeps the values current until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	defer close(d.stopped)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	d.tick(ctx, d.Clock.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			if d.stopWatch != nil {
+				d.stopWatch()
+			}
+			return
+		case event := <-d.events:
+			event(d.Clock.Now())
+		case <-ticker.C:
+		}
+		d.tick(ctx, d.Clock.Now())
+	}
+}
+
+// post hands an event to the owner of the state.
+func (d *Directory) post(event func(now clock.Millis)) {
+	select {
+	case d.events <- event:
+	case <-d.stopped:
+	}
+}
+
+func (d *Directory) tick(ctx context.Context, now clock.Millis) {
+	age := d.lease.Age(now)
+	rank := d.rank()
+	if d.roster.Expire(now) {
+		d.publish()
+	}
+	if !d.reading && now >= d.readAfter && (schedule.ReadDue(rank, age) || d.policy == nil) {
+		d.startRead(ctx, now)
+	}
+	acting := rank <= 0 || now < d.lastRead+readerMs
+	if !d.relisting && now >= d.relistAt && (acting || !d.listed) {
+		d.startRelist(ctx, now)
+	}
+	d.watch(ctx, acting && d.policy != nil && d.listed)
+	if !d.asking && now >= d.askAfter && schedule.AskDue(rank, age) {
+		d.startAsk(ctx, now)
+	}
+}
+
+// rank returns the place of this node among those of its failure domain, -1 if none is known.
+func (d *Directory) rank() int {
+	v := d.view.Load()
+	if v == nil {
+		return -1
+	}
+	for i, address := range v.Neighbours {
+		if address == d.Address {
+			return i
+		}
+	}
+	return -1
+}
+
+func (d *Directory) startRead(ctx context.Context, now clock.Millis) {
+	d.reading = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		p, err := d.Source.Policy(ctx)
+		d.post(func(done clock.Millis) { d.finishRead(p, err, now, done) })
+	}()
+}
+
+func (d *Directory) finishRead(p published.Policy, err error, sentAt, now clock.Millis) {
+	d.reading = false
+	if err != nil {
+		d.readAfter = now + readRetryMs
+		d.platformFailed("policy", err)
+		return
+	}
+	d.lastRead = now
+	d.platformAnswered(now)
+	d.applyPolicy(p, "platform")
+	d.confirm(p.Version, sentAt, "platform")
+}
+
+func (d *Directory) startRelist(ctx context.Context, now clock.Millis) {
+	d.relisting = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		delta, notes, err := d.Source.Targets(ctx)
+		d.post(func(done clock.Millis) {
+			d.relisting = false
+			d.relistAt = now + relistMs
+			if err != nil {
+				d.relistAt = done + readRetryMs
+				d.platformFailed("targets", err)
+				return
+			}
+			d.platformAnswered(done)
+			d.applyTargets(delta, notes, "platform", done)
+		})
+	}()
+}
+
+// platformFailed logs the loss of the platform once.
+func (d *Directory) platformFailed(what string, err error) {
+	d.roster.PublisherLost()
+	if d.platformLost {
+		return
+	}
+	d.platformLost = true
+	_ = level.Warn(d.Logger).Log("msg", "platform does not answer", "read", what, "err", err,
+		"confirmationAgeMs", int64(d.Age()))
+}
+
+func (d *Directory) platformAnswered(now clock.Millis) {
+	d.roster.PublisherReached(now)
+	if d.platformLost {
+		d.platformLost = false
+		_ = level.Info(d.Logger).Log("msg", "platform answers again")
+	}
+}
+
+// applyPolicy puts a newer policy into force and reports whether it was newer.
+func (d *Directory) applyPolicy(p published.Policy, source string) bool {
+	if d.policy != nil && p.Version <= d.policy.Version {
+		return false
+	}
+	before := int64(0)
+	if d.policy != nil {
+		before = d.policy.Version
+	}
+	d.policy = &p
+	_ = level.Info(d.Logger).Log("msg", "policy in force", "version", p.Version, "before", before, "source", source,
+		"routes", len(p.Routes), "accounts", len(p.Accounts))
+	d.publish()
+	if source == "platform" {
+		d.push(syncMessage{Policy: &p})
+	}
+	return true
+}
+
+// confirm extends the lease if version is the one in force.
+func (d *Directory) confirm(version int64, at clock.Millis, source string) {
+	if d.policy == nil || version != d.policy.Version {
+		_ = level.Warn(d.Logger).Log("msg", "confirmation of another version ignored", "version", version, "source", source)
+		return
+	}
+	if d.lease.Confirm(version, at) {
+		d.confirmedAt.Store(int64(at))
+	}
+}
+
+func (d *Directory) applyTargets(delta roster.Delta, notes []error, source string, now clock.Millis) {
+	for _, note := range notes {
+		_ = level.Debug(d.Logger).Log("msg", "published entry ignored", "err", note)
+	}
+	base := d.roster.Revision()
+	news := d.roster.Apply(delta, now)
+	d.listed = d.listed || delta.Whole
+	for _, c := range news {
+		d.logChange(c, source)
+	}
+	if len(news) == 0 && d.view.Load() != nil {
+		return
+	}
+	d.publish()
+	if source == "platform" && len(news) > 0 {
+		d.push(syncMessage{Roster: &roster.Delta{Base: base, Revision: d.roster.Revision(), Changes: news}})
+	}
+}
+
+func (d *Directory) logChange(c roster.Change, source string) {
+	if c.VM == nil {
+		_ = level.Info(d.Logger).Log("msg", "target is gone from the list", "target", c.Name, "revision", c.Revision, "source", source)
+		return
+	}
+	_ = level.Info(d.Logger).Log("msg", "target listed", "target", c.Name, "state", c.VM.State, "service", c.VM.Service,
+		"peer", c.VM.PeerAddress, "revision", c.Revision, "source", source)
+}
+
+// publish makes the values in force visible to traffic.
+func (d *Directory) publish() {
+	if d.policy == nil || !d.listed {
+		return
+	}
+	vms := d.roster.VMs()
+	v := &View{
+		Snapshot:      fleet.Assemble(d.policy.Version, d.policy.Routes, d.policy.Accounts, d.policy.Services, vms),
+		PolicyVersion: d.policy.Version, KeysRequired: d.policy.KeysRequired, Bounds: d.policy.Bounds,
+	}
+	v.Neighbours, v.Others = addresses(vms, d.Address, d.FailureDomain)
+	listed := make(map[string]bool)
+	for _, other := range vms {
+		listed[other.PeerAddress] = true
+	}
+	d.Peers.Keep(listed)
+	d.view.Store(v)
+}
--- /dev/null
+++ b/coltsfootd/directory/sync.go
@@ -0,0 +1,237 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/published"
+	"coltsfootusher.example/core/roster"
+)
+
+// The paths of control messages between nodes.
+const (
+	SyncPath  = "/coltsfoot/sync"
+	LeavePath = "/coltsfoot/leave"
+)
+
+const maxMessageBytes = 16 << 20
+
+// syncMessage is a request and a reply: what the sender knows, and what the receiver lacks.
+type syncMessage struct {
+	From        string `json:"from,omitempty"`
+	Incarnation uint64 `json:"incarnation,string,omitempty"`
+	// PolicyVersion and Revision are those of the sender, 0 for none.
+	PolicyVersion int64 `json:"policyVersion,omitempty"`
+	Revision      int64 `json:"revision,omitempty"`
+	// AgeMs is the age of the sender's confirmation of its policy; -1 if it has none.
+	AgeMs  clock.Millis      `json:"ageMs"`
+	Policy *published.Policy `json:"policy,omitempty"`
+	Roster *roster.Delta     `json:"roster,omitempty"`
+}
+
+// LeaveMessage says that a node takes no new work.
+type LeaveMessage struct {
+	From        string `json:"from"`
+	Incarnation uint64 `json:"incarnation,string"`
+}
+
+// self returns what this node knows, without the values.
+func (d *Directory) self(now clock.Millis) syncMessage {
+	m := syncMessage{From: d.Address, Incarnation: d.Incarnation, AgeMs: -1}
+	if d.policy != nil {
+		m.PolicyVersion = d.policy.Version
+	}
+	if d.listed {
+		m.Revision = d.roster.Revision()
+	}
+	if age := d.lease.Age(now); age != clock.Never {
+		m.AgeMs = age
+	}
+	return m
+}
+
+// startAsk asks a peer for a newer confirmation and newer values.
+func (d *Directory) startAsk(ctx context.Context, now clock.Millis) {
+	address := d.nextPeer()
+	if address == "" {
+		d.askAfter = now + askRetryMs
+		return
+	}
+	d.asking = true
+	message := d.self(now)
+	go func() {
+		var reply syncMessage
+		err := d.Peers.Call(ctx, address, SyncPath, askTimeout, message, &reply)
+		d.post(func(done clock.Millis) { d.finishAsk(address, reply, err, now, done) })
+	}()
+}
+
+// nextPeer returns the node to ask: the first ranks of the own failure domain, and nodes of all domains by chance while
+// that brings nothing newer.
+func (d *Directory) nextPeer() string {
+	v := d.view.Load()
+	if v == nil {
+		return ""
+	}
+	const firstRanks = 2
+	var candidates []string
+	for _, address := range v.Neighbours {
+		if address != d.Address && d.Peers.Reachable(address) {
+			candidates = append(candidates, address)
+		}
+	}
+	if d.asked < min(firstRanks, len(candidates)) {
+		return candidates[d.asked]
+	}
+	for _, other := range v.Others {
+		for _, address := range other {
+			if d.Peers.Reachable(address) {
+				candidates = append(candidates, address)
+			}
+		}
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[d.random.IntN(len(candidates))]
+}
+
+func (d *Directory) finishAsk(address string, reply syncMessage, err error, sentAt, now clock.Millis) {
+	d.asking = false
+	before := d.lease.Age(now)
+	if err == nil {
+		d.apply(reply, address, now)
+		if reply.AgeMs >= 0 {
+			// The peer's age is that at its reply, which came after our request was sent.
+			d.confirmFrom(reply, sentAt, address)
+		}
+	}
+	if err == nil && (schedule.AskEveryMs > d.lease.Age(now) || d.lease.Age(now) < before) {
+		d.asked = 0
+		d.askAfter = now + min(schedule.AskEveryMs, max(askRetryMs, schedule.AskEveryMs-d.lease.Age(now)))
+		return
+	}
+	d.asked++
+	d.askAfter = now + askRetryMs
+}
+
+func (d *Directory) confirmFrom(reply syncMessage, sentAt clock.Millis, address string) {
+	if d.policy != nil && reply.PolicyVersion == d.policy.Version {
+		d.confirm(reply.PolicyVersion, sentAt-reply.AgeMs, address)
+	}
+}
+
+// apply takes the values of a message.
+func (d *Directory) apply(m syncMessage, source string, now clock.Millis) {
+	if m.Policy != nil {
+		d.applyPolicy(*m.Policy, source)
+	}
+	if m.Roster != nil {
+		d.applyTargets(*m.Roster, nil, source, now)
+	}
+}
+
+// push sends news to the other nodes of the own failure domain and to the first nodes of the others.
+func (d *Directory) push(m syncMessage) {
+	v := d.view.Load()
+	if v == nil {
+		return
+	}
+	m.From, m.Incarnation, m.AgeMs = d.Address, d.Incarnation, -1
+	d.broadcast(v.Neighbours, SyncPath, m)
+	const firstRanks = 1
+	for _, other := range v.Others {
+		d.broadcast(other[:min(firstRanks, len(other))], SyncPath, m)
+	}
+}
+
+// announce sends a message to all known nodes.
+func (d *Directory) announce(path string, message any) {
+	v := d.view.Load()
+	if v == nil {
+		return
+	}
+	d.broadcast(v.Neighbours, path, message)
+	for _, other := range v.Others {
+		d.broadcast(other, path, message)
+	}
+}
+
+// AnnouncePresence tells the other nodes that this one has started.
+func (d *Directory) AnnouncePresence() {
+	d.post(func(now clock.Millis) { d.announce(SyncPath, d.self(now)) })
+}
+
+// AnnounceLeaving tells the other nodes that this one takes no new work.
+func (d *Directory) AnnounceLeaving() {
+	d.announce(LeavePath, LeaveMessage{From: d.Address, Incarnation: d.Incarnation})
+}
+
+func (d *Directory) broadcast(addresses []string, path string, message any) {
+	for _, address := range addresses {
+		if address == d.Address || !d.Peers.Reachable(address) {
+			continue
+		}
+		go func() {
+			if err := d.Peers.Call(context.Background(), address, path, pushTimeout, message, nil); err != nil {
+				_ = level.Debug(d.Logger).Log("msg", "peer was not told", "peer", address, "path", path, "err", err)
+			}
+		}()
+	}
+}
+
+// ServeSync answers a node that asks or tells.
+func (d *Directory) ServeSync(w http.ResponseWriter, r *http.Request) {
+	var m syncMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if m.From != "" && m.Incarnation != 0 {
+		d.Peers.Present(m.From, m.Incarnation)
+	}
+	reply := make(chan syncMessage, 1)
+	d.post(func(now clock.Millis) {
+		d.apply(m, m.From, now)
+		reply <- d.replyTo(m, now)
+	})
+	select {
+	case own := <-reply:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(own) // The other end has gone if this fails.
+	case <-r.Context().Done():
+	case <-d.stopped:
+		http.Error(w, "the node stops", http.StatusServiceUnavailable)
+	}
+}
+
+// replyTo returns what the sender of m lacks. A pushed message asks for nothing.
+func (d *Directory) replyTo(m syncMessage, now clock.Millis) syncMessage {
+	own := d.self(now)
+	if m.Policy != nil || m.Roster != nil {
+		return own
+	}
+	if d.policy != nil && m.PolicyVersion < d.policy.Version {
+		own.Policy = d.policy
+	}
+	if d.listed && m.Revision < d.roster.Revision() {
+		delta := d.roster.Since(m.Revision)
+		own.Roster = &delta
+	}
+	return own
+}
+
+// ServeLeave records that a peer takes no new work.
+func (d *Directory) ServeLeave(w http.ResponseWriter, r *http.Request) {
+	var m LeaveMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	d.Peers.Leaving(m.From, m.Incarnation)
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/coltsfootd/directory/watch.go
@@ -0,0 +1,79 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"coltsfootusher.example/core/clock"
+)
+
+// watch starts or stops the watches at the platform.
+func (d *Directory) watch(ctx context.Context, wanted bool) {
+	if wanted == (d.stopWatch != nil) {
+		return
+	}
+	if !wanted {
+		d.stopWatch()
+		d.stopWatch = nil
+		return
+	}
+	ctx, d.stopWatch = context.WithCancel(ctx)
+	revision := d.roster.Revision()
+	go d.watchTargets(ctx, revision)
+	go d.watchPolicy(ctx, revision)
+}
+
+// watchTargets follows the list of targets until ctx ends. After a failure the whole list is read again, because the
+// platform may have dropped its history.
+func (d *Directory) watchTargets(ctx context.Context, after int64) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, watchWaitMs.Duration()+watchGrace)
+		delta, notes, err := d.Source.WatchTargets(call, after, watchWaitMs)
+		cancel()
+		if err != nil {
+			d.post(func(now clock.Millis) { d.relistAt = min(d.relistAt, now) })
+			pause(ctx, watchRetry)
+			after = d.knownRevision(ctx, after)
+			continue
+		}
+		after = max(after, delta.Revision)
+		d.post(func(now clock.Millis) { d.applyTargets(delta, notes, "platform", now) })
+	}
+}
+
+// watchPolicy follows the policy until ctx ends. It confirms nothing, since a watch that hears nothing may be deaf.
+func (d *Directory) watchPolicy(ctx context.Context, after int64) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, watchWaitMs.Duration()+watchGrace)
+		p, revision, err := d.Source.WatchPolicy(call, after, watchWaitMs)
+		cancel()
+		if err != nil {
+			pause(ctx, watchRetry)
+			after = d.knownRevision(ctx, after)
+			continue
+		}
+		after = max(after, revision)
+		if p != nil {
+			d.post(func(clock.Millis) { d.applyPolicy(*p, "platform") })
+		}
+	}
+}
+
+// knownRevision returns the revision of the list, which is read again after a watch has failed.
+func (d *Directory) knownRevision(ctx context.Context, fallback int64) int64 {
+	revision := make(chan int64, 1)
+	d.post(func(clock.Millis) { revision <- d.roster.Revision() })
+	select {
+	case r := <-revision:
+		return max(r, fallback)
+	case <-ctx.Done():
+		return fallback
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/coltsfootd/forward/handler.go
@@ -0,0 +1,353 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/directory"
+	"coltsfootusher.example/coltsfootd/message"
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/dialect"
+	"coltsfootusher.example/core/dispatch"
+	"coltsfootusher.example/core/retry"
+	"coltsfootusher.example/core/route"
+)
+
+const (
+	// defaultTimeoutMs bounds a request whose caller and route set no time.
+	defaultTimeoutMs clock.Millis = 10_000
+	// staleMs is the age of the confirmation above which an unknown route or key may be a new one.
+	staleMs clock.Millis = 2000
+	// notReadyRetryMs is the advice when to return to a node that is not ready.
+	notReadyRetryMs clock.Millis = 500
+	// bodyRoom is the part of a large body for which memory is set aside before it arrives.
+	bodyRoom = 64 << 10
+)
+
+// Dialect speaks the headers of callers.
+type Dialect interface {
+	ReadCaller(h http.Header) dialect.CallerRequest
+	DropCaller(h http.Header)
+	EchoHeader() string
+	// WriteRetryAfter tells a caller when to return.
+	WriteRetryAfter(h http.Header, after clock.Millis)
+}
+
+// Values yields the published values with their age.
+type Values interface {
+	View() *directory.View
+	Age() clock.Millis
+	Fresh() bool
+}
+
+// Limiter takes one token of the client account's fleet-wide rate.
+type Limiter interface {
+	Admit(ctx context.Context, a account.Account) (ok bool, retryAfterMs clock.Millis)
+}
+
+// Throttle refuses lookups early while their like fail because of overload.
+type Throttle interface {
+	Admit(key retry.ThrottleKey, now clock.Millis) bool
+	Done(key retry.ThrottleKey, accepted bool, now clock.Millis)
+}
+
+// Splitter chooses among the services of a route.
+type Splitter interface {
+	Choose(r route.Route) string
+}
+
+// Config are the dependencies of a Handler.
+type Config struct {
+	Node string
+	// Service is the service of the target beside the node, where the requests begin.
+	Service  string
+	Clock    clock.Clock
+	Dialect  Dialect
+	Values   Values
+	Limiter  Limiter
+	Throttle Throttle
+	Splitter Splitter
+	Sender   *Sender
+	Recorder *decision.Recorder
+}
+
+// Handler accepts the requests of callers and of the local target.
+type Handler struct {
+	Config
+	closing atomic.Bool
+}
+
+// New returns a handler with these dependencies.
+func New(c Config) *Handler {
+	return &Handler{Config: c}
+}
+
+// SetClosing makes the handler close each connection after its answer.
+func (h *Handler) SetClosing() {
+	h.closing.Store(true)
+}
+
+// arrival is a request with what was found out about it.
+type arrival struct {
+	request  *http.Request
+	caller   dialect.CallerRequest
+	received clock.Millis
+	view     *directory.View
+	route    route.Route
+	account  account.Account
+	priority int
+	timeout  clock.Millis
+	body     []byte
+	inner    bool
+}
+
+// outcome is the end of a request at its origin.
+type outcome struct {
+	Result
+	// retryAfter is the advice with a refusal; 0 means none.
+	retryAfter clock.Millis
+}
+
+func refused(reason call.Reason, retryAfter clock.Millis) outcome {
+	return outcome{Result: Result{Reply: dispatch.Reply{Reason: reason, Run: call.NotRun}}, retryAfter: retryAfter}
+}
+
+// ServeHTTP handles one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	a := &arrival{request: request, received: h.Clock.Now(), caller: h.Dialect.ReadCaller(request.Header)}
+	if h.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	o := h.handle(a)
+	h.record(a, o)
+	if o.Response != nil {
+		message.Write(w, o.Response)
+		return
+	}
+	h.writeRefusal(w, a, o)
+}
+
+func (h *Handler) writeRefusal(w http.ResponseWriter, a *arrival, o outcome) {
+	status := o.Reply.Reason.Status()
+	if o.Reply.Run != call.NotRun && promisesNotRun(status) {
+		status = http.StatusBadGateway
+	}
+	if o.Reply.Run == call.NotRun && status >= http.StatusInternalServerError && o.Reply.Reason != call.ReasonInternal {
+		status = http.StatusServiceUnavailable
+	}
+	header := w.Header()
+	if a.caller.RequestID != "" {
+		header.Set(h.Dialect.EchoHeader(), a.caller.RequestID)
+	}
+	if promisesNotRun(status) && o.retryAfter > 0 {
+		h.Dialect.WriteRetryAfter(header, o.retryAfter)
+	}
+	header.Set("Coltsfoot-Reason", string(o.Reply.Reason))
+	header["Date"] = nil
+	header["Content-Type"] = nil
+	w.WriteHeader(status)
+}
+
+// promisesNotRun reports whether callers may take the status as a promise that the request was not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// handle decides about a request and, if it is admitted, sends it to a target.
+func (h *Handler) handle(a *arrival) outcome {
+	if a.view = h.Values.View(); a.view == nil {
+		return refused(call.ReasonNotReady, notReadyRetryMs)
+	}
+	if reason := h.identify(a); reason != "" {
+		if (reason == call.ReasonRouteUnknown || reason == call.ReasonKeyUnknown) && h.Values.Age() > staleMs {
+			reason = call.ReasonConfirmTimeout
+		}
+		return refused(reason, notReadyRetryMs)
+	}
+	if a.account.ID != "" && !h.Values.Fresh() {
+		return refused(call.ReasonConfirmTimeout, notReadyRetryMs)
+	}
+	if reason := readBody(a); reason != "" {
+		return refused(reason, 0)
+	}
+	ctx, cancel := context.WithTimeout(a.request.Context(), a.timeout.Duration())
+	o := h.admit(ctx, a)
+	if o.Response == nil {
+		cancel()
+		return o
+	}
+	o.Response.OnClose(cancel)
+	return o
+}
+
+// identify finds the route, the client account, the rank and the time of the request.
+func (h *Handler) identify(a *arrival) call.Reason {
+	path, _, _ := strings.Cut(a.request.RequestURI, "?")
+	host, _, _ := strings.Cut(a.request.Host, ":")
+	found, ok := a.view.RouteFor(host, path)
+	if !ok {
+		return call.ReasonRouteUnknown
+	}
+	a.route, a.priority = found, found.Priority
+	if reason := h.authenticate(a); reason != "" {
+		return reason
+	}
+	if a.account.Priority != nil {
+		a.priority = *a.account.Priority
+	}
+	a.inner = found.Open && !a.caller.HasKey
+	a.timeout = found.TimeoutMs
+	if a.timeout <= 0 {
+		a.timeout = defaultTimeoutMs
+	}
+	if a.caller.TimeoutMs > 0 {
+		a.timeout = min(a.timeout, a.caller.TimeoutMs)
+	}
+	return ""
+}
+
+func (h *Handler) authenticate(a *arrival) call.Reason {
+	if !a.view.KeysRequired {
+		return ""
+	}
+	known, ok := a.view.AccountByKey(a.caller.Key)
+	switch {
+	case a.caller.Key != "" && ok:
+		a.account = known
+		return ""
+	case a.route.Open:
+		return ""
+	case !a.caller.HasKey:
+		return call.ReasonKeyMissing
+	default:
+		return call.ReasonKeyUnknown
+	}
+}
+
+// readBody reads the whole body, because a request that did not run may have to be sent elsewhere.
+func readBody(a *arrival) call.Reason {
+	limit := a.view.Bounds.MaxBodyBytes
+	if limit <= 0 {
+		limit = 1 << 20
+	}
+	if a.request.ContentLength > limit {
+		return call.ReasonBodyTooLarge
+	}
+	if a.request.ContentLength == 0 {
+		return ""
+	}
+	body := make([]byte, 0, max(0, min(a.request.ContentLength, bodyRoom)))
+	buffer := &sliceWriter{data: body}
+	if _, err := io.Copy(buffer, io.LimitReader(a.request.Body, limit+1)); err != nil {
+		if a.request.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF) {
+			return call.ReasonCallerGone
+		}
+		return call.ReasonMalformed
+	}
+	if int64(len(buffer.data)) > limit {
+		return call.ReasonBodyTooLarge
+	}
+	a.body = buffer.data
+	return ""
+}
+
+type sliceWriter struct{ data []byte }
+
+// Write appends to the slice.
+func (s *sliceWriter) Write(p []byte) (int, error) {
+	s.data = append(s.data, p...)
+	return len(p), nil
+}
+
+// admit applies the limits of the client account and sends the request.
+func (h *Handler) admit(ctx context.Context, a *arrival) outcome {
+	throttled := a.route.Class == route.Lookup && !a.inner
+	key := retry.ThrottleKey{Account: a.account.ID, Route: a.route.Host + a.route.Prefix}
+	if throttled && !h.Throttle.Admit(key, h.Clock.Now()) {
+		return refused(call.ReasonOverloaded, h.Sender.RetryAfter(0))
+	}
+	if a.account.ID != "" && !a.route.Open {
+		if ok, retryAfter := h.Limiter.Admit(ctx, a.account); !ok {
+			if ctx.Err() != nil {
+				return refused(call.ReasonCallerGone, 0)
+			}
+			return refused(call.ReasonOverRate, retryAfter)
+		}
+	}
+	result := h.Sender.Send(ctx, h.job(a))
+	if throttled {
+		h.Throttle.Done(key, !overloaded(result), h.Clock.Now())
+	}
+	o := outcome{Result: result}
+	if result.Reply.Run == call.NotRun {
+		o.retryAfter = h.Sender.RetryAfter(result.Reply.RetryAfterMs)
+	}
+	return o
+}
+
+// overloaded reports whether the request failed because it, or a call that its target made, found no room.
+func overloaded(r Result) bool {
+	return r.Reply.Reason.Overload()
+}
+
+func (h *Handler) job(a *arrival) Job {
+	header := a.request.Header
+	message.DropConnectionHeaders(header)
+	h.Dialect.DropCaller(header)
+	header.Del("Expect")
+	return Job{
+		Context: dispatch.Context{
+			RequestID: a.caller.RequestID, Service: h.Splitter.Choose(a.route), Route: a.route.Host + a.route.Prefix,
+			Class: a.route.Class, Account: a.account.ID, Caller: h.Service, Priority: a.priority, Inner: a.inner,
+			Fingerprint: fingerprint(a, h.Service),
+		},
+		Method: a.request.Method, URI: a.request.RequestURI, Host: a.request.Host, Header: header, Body: a.body,
+		Deadline: a.received + a.timeout, MaxTargets: max(1, a.route.MaxTargets), ObjectiveMs: a.route.ObjectiveMs,
+	}
+}
+
+func fingerprint(a *arrival, caller string) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{caller, a.request.Method, a.request.Host, a.request.RequestURI} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(a.body)
+	return digest.Sum64()
+}
+
+func (h *Handler) record(a *arrival, o outcome) {
+	now := h.Clock.Now()
+	action := "request answered"
+	if o.Response == nil {
+		action = "request refused or failed"
+	}
+	h.Recorder.Record(decision.Decision{
+		AtMs: now, Part: decision.Entry, RequestID: a.caller.RequestID, Account: a.account.ID,
+		Route: a.route.Host + a.route.Prefix, Action: action, Node: o.Target, Reason: o.Reply.Reason, Attempt: o.Attempts,
+		FactAgeMs: ageOrUnknown(h.Values.Age()), ElapsedMs: now - a.received, WaitMs: o.retryAfter,
+	})
+}
+
+func ageOrUnknown(age clock.Millis) clock.Millis {
+	if age == clock.Never {
+		return -1
+	}
+	return age
+}
+
+var _ Values = (*directory.Directory)(nil)
--- /dev/null
+++ b/coltsfootd/forward/sender.go
@@ -0,0 +1,262 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/passage"
+	"coltsfootusher.example/coltsfootd/peers"
+	"coltsfootusher.example/coltsfootd/upstream"
+	"coltsfootusher.example/core/balance"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/dispatch"
+	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/vm"
+)
+
+const (
+	// remoteDistanceMs makes a target of the own failure domain preferable to others: bytes between domains are dear.
+	remoteDistanceMs = 10
+	// maxRefusals is the number of gates that may refuse a request before its caller is told to return later.
+	maxRefusals = 3
+	// defaultRetryMs is the advice when no gate said when room is expected.
+	defaultRetryMs clock.Millis = 300
+)
+
+// Job is a request to send.
+type Job struct {
+	dispatch.Context
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Deadline is the time after which nobody waits for the answer.
+	Deadline clock.Millis
+	// MaxTargets is the number of targets to which the request may be sent.
+	MaxTargets  int
+	ObjectiveMs clock.Millis
+}
+
+// Result is the end of a request.
+type Result struct {
+	Reply    dispatch.Reply
+	Response *upstream.Response
+	// Target is the id of the target of the last attempt.
+	Target   string
+	Attempts int
+}
+
+// Local runs requests at the target beside this node.
+type Local interface {
+	Run(ctx context.Context, c dispatch.Context, request *upstream.Request) (dispatch.Reply, *upstream.Response)
+}
+
+// Budget bounds the repeats of requests that may have reached a target.
+type Budget interface {
+	OnRequest(service string, now clock.Millis)
+	TryRepeat(service string, now clock.Millis) bool
+}
+
+// SenderConfig are the dependencies of a Sender.
+type SenderConfig struct {
+	Address       string
+	FailureDomain string
+	Clock         clock.Clock
+	Values        Values
+	Peers         *peers.Table
+	Local         Local
+	Balancer      *passage.LockedBalancer
+	Budget        Budget
+	Recorder      *decision.Recorder
+	Random        *rand.Rand
+}
+
+// Sender chooses targets and sends requests to them.
+type Sender struct {
+	SenderConfig
+	randomMu sync.Mutex
+}
+
+// NewSender returns a sender with these dependencies.
+func NewSender(c SenderConfig) *Sender {
+	return &Sender{SenderConfig: c}
+}
+
+// Send sends the job until a target has answered it, it may not be repeated, or no target is left.
+func (s *Sender) Send(ctx context.Context, j Job) Result {
+	s.Budget.OnRequest(j.Service, s.Clock.Now())
+	last := Result{Reply: dispatch.Reply{Reason: call.ReasonNoTarget, Run: call.NotRun}}
+	exclude := make(map[string]bool)
+	// sent counts the targets that may have begun the request, refusals the gates that did not let it through.
+	sent, refusals := 0, 0
+	mayHaveRun := false
+	for {
+		v, choice, ok := s.choose(j.Service, exclude)
+		if !ok {
+			return s.settled(last, mayHaveRun)
+		}
+		exclude[v.Name] = true
+		j.Attempt = last.Attempts
+		reply, response := s.attempt(ctx, v, j, choice)
+		last = Result{Reply: reply, Response: response, Target: v.Name, Attempts: last.Attempts + 1}
+		if reply.OK() {
+			return last
+		}
+		now := s.Clock.Now()
+		if ctx.Err() != nil || now >= j.Deadline {
+			return s.settled(last, mayHaveRun || reply.Run != call.NotRun)
+		}
+		if reply.Run == call.NotRun && !reply.ShedByTarget {
+			if refusals++; refusals >= maxRefusals && reply.Reason.Overload() {
+				return s.settled(last, mayHaveRun)
+			}
+			continue
+		}
+		sent++
+		mayHaveRun = mayHaveRun || reply.Run != call.NotRun
+		if mayHaveRun && j.Class == route.OnceOnly || sent >= j.MaxTargets || !s.Budget.TryRepeat(j.Service, now) {
+			return s.settled(last, mayHaveRun)
+		}
+	}
+}
+
+// settled makes the result of a request that failed say truly whether it may have run.
+func (s *Sender) settled(r Result, mayHaveRun bool) Result {
+	if mayHaveRun && r.Reply.Run == call.NotRun {
+		r.Reply.Run = call.MaybeRun
+		if r.Reply.Reason.Status() == http.StatusServiceUnavailable {
+			r.Reply.Reason = call.ReasonTargetFailed
+		}
+	}
+	return r
+}
+
+// choose lets the balancer choose among the targets of the service that get new work.
+func (s *Sender) choose(service string, exclude map[string]bool) (vm.VM, balance.Choice, bool) {
+	view := s.Values.View()
+	vms := view.VMsOfService(service)
+	candidates := make([]balance.Candidate, 0, len(vms))
+	for _, v := range vms {
+		if v.State != vm.Live || exclude[v.Name] || v.PeerAddress != s.Address && !s.Peers.Usable(v.PeerAddress) {
+			continue
+		}
+		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
+		if v.FailureDomain != s.FailureDomain {
+			c.DistanceMs = remoteDistanceMs
+		}
+		candidates = append(candidates, c)
+	}
+	choice, ok := s.Balancer.Choose(candidates, nil, s.Clock.Now())
+	if !ok {
+		return vm.VM{}, choice, false
+	}
+	v, ok := view.VM(choice.Node)
+	return v, choice, ok
+}
+
+// attempt sends the job to one target.
+func (s *Sender) attempt(ctx context.Context, v vm.VM, j Job, choice balance.Choice) (dispatch.Reply, *upstream.Response) {
+	now := s.Clock.Now()
+	j.Target = v.Name
+	j.TimeoutMs = j.Deadline - now
+	s.Balancer.Started(v.Name, now)
+	start := time.Now()
+	reply, response := s.deliver(ctx, v, j)
+	report := balance.Report{
+		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
+		Failed:    failedTarget(reply),
+		Refused:   !reply.OK() && reply.Run == call.NotRun,
+	}
+	if reply.Load.Limit > 0 {
+		load := reply.Load
+		report.Load = &load
+	}
+	s.Balancer.Finished(v.Name, report, s.Clock.Now())
+	s.Recorder.Record(decision.Decision{
+		AtMs: s.Clock.Now(), Part: decision.Passage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
+		Action: "request sent to target", Node: v.Name, Reason: reply.Reason, Attempt: j.Attempt,
+		WaitMs: clock.Millis(choice.WaitMs), FactAgeMs: choice.LoadAgeMs, ElapsedMs: s.Clock.Now() - now,
+	})
+	return reply, response
+}
+
+// failedTarget reports whether the reply speaks against the target or its node.
+func failedTarget(r dispatch.Reply) bool {
+	switch r.Reason {
+	case call.ReasonNodeUnreachable, call.ReasonTargetDown, call.ReasonTargetFailed, call.ReasonAnswerMismatch:
+		return true
+	default:
+		return r.ShedByTarget
+	}
+}
+
+func (s *Sender) deliver(ctx context.Context, v vm.VM, j Job) (dispatch.Reply, *upstream.Response) {
+	request := &upstream.Request{Method: j.Method, URI: j.URI, Host: j.Host, Header: j.Header.Clone(), Body: j.Body}
+	if v.PeerAddress == s.Address {
+		return s.Local.Run(ctx, j.Context, request)
+	}
+	encoded, err := dispatch.Encode(j.Context)
+	if err != nil {
+		return dispatch.Reply{Reason: call.ReasonInternal, Run: call.NotRun}, nil
+	}
+	request.Header.Set(dispatch.ContextHeader, encoded)
+	response, err := s.Peers.Get(v.PeerAddress).Do(ctx, request, j.Class == route.Lookup)
+	if err != nil {
+		return unanswered(ctx, err), nil
+	}
+	reply, err := dispatch.Decode[dispatch.Reply](response.Header.Get(dispatch.ReplyHeader))
+	if err != nil {
+		response.Close()
+		return replyOfServer(response.Status), nil
+	}
+	response.Header.Del(dispatch.ReplyHeader)
+	if !reply.OK() {
+		response.Close()
+		return reply, nil
+	}
+	return reply, response
+}
+
+// replyOfServer interprets an answer that no runner gave. A node that stops ends idle connections with status 408; a
+// request that crossed with it was not read.
+func replyOfServer(status int) dispatch.Reply {
+	if status == http.StatusRequestTimeout {
+		return dispatch.Reply{Reason: call.ReasonLeaving, Run: call.NotRun}
+	}
+	return dispatch.Reply{Reason: call.ReasonNodeUnreachable, Run: call.MaybeRun}
+}
+
+// unanswered classifies an error between two nodes.
+func unanswered(ctx context.Context, err error) dispatch.Reply {
+	var failure *upstream.Failure
+	notSent := errors.As(err, &failure) && !failure.Sent
+	reply := dispatch.Reply{Reason: call.ReasonNodeUnreachable, Run: call.MaybeRun}
+	if notSent {
+		reply.Run = call.NotRun
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reply.Reason = call.ReasonDeadlineExceeded
+	case ctx.Err() != nil:
+		reply.Reason = call.ReasonCallerGone
+	}
+	return reply
+}
+
+// RetryAfter returns the advice when to return, spread over 0.5 to 1.5 times the expected wait, so that those refused
+// together do not return together.
+func (s *Sender) RetryAfter(expected clock.Millis) clock.Millis {
+	if expected <= 0 {
+		expected = defaultRetryMs
+	}
+	s.randomMu.Lock()
+	defer s.randomMu.Unlock()
+	return max(1, clock.Millis(float64(expected)*(0.5+s.Random.Float64())))
+}
--- /dev/null
+++ b/coltsfootd/localtarget/localtarget.go
@@ -0,0 +1,198 @@
+package localtarget
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/directory"
+	"coltsfootusher.example/coltsfootd/gateway"
+	"coltsfootusher.example/coltsfootd/upstream"
+	"coltsfootusher.example/core/call"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/dialect"
+	"coltsfootusher.example/core/dispatch"
+	"coltsfootusher.example/core/gate"
+	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/vm"
+)
+
+// Dialect speaks the headers of targets.
+type Dialect interface {
+	WriteTarget(h http.Header, t dialect.TargetRequest)
+	ReadTarget(status int, h http.Header) dialect.TargetAnswer
+}
+
+// Views yields the published values.
+type Views interface {
+	View() *directory.View
+}
+
+// Config are the dependencies of a Runner.
+type Config struct {
+	Node string
+	// Address is the address of the target.
+	Address   string
+	Clock     clock.Clock
+	Dialect   Dialect
+	Views     Views
+	Admission *gateway.Admission
+	Pool      *upstream.Pool
+	Recorder  *decision.Recorder
+}
+
+// Runner runs requests at the local target.
+type Runner struct {
+	Config
+}
+
+// New returns a runner with these dependencies.
+func New(c Config) *Runner {
+	return &Runner{Config: c}
+}
+
+// Run admits the request, runs it at the target and returns the reply with the target's response, if there is one.
+func (r *Runner) Run(ctx context.Context, c dispatch.Context, request *upstream.Request) (dispatch.Reply, *upstream.Response) {
+	received := r.Clock.Now()
+	reply, response := r.run(ctx, c, request, received)
+	reply.Load = r.Admission.Load()
+	r.record(c, reply, received)
+	return reply, response
+}
+
+func (r *Runner) run(
+	ctx context.Context, c dispatch.Context, request *upstream.Request, received clock.Millis,
+) (dispatch.Reply, *upstream.Response) {
+	if r.drains(c.Target) {
+		return refuse(call.ReasonLeaving), nil
+	}
+	deadline := received + c.TimeoutMs
+	waiting, cancel := context.WithTimeout(ctx, c.TimeoutMs.Duration())
+	defer cancel()
+	d := r.admit(waiting, c, received, deadline)
+	if !d.Admitted {
+		reply := refuse(d.Reason)
+		reply.RetryAfterMs = d.RetryAfterMs
+		return reply, nil
+	}
+	start := time.Now()
+	reply, response := r.send(ctx, c, request, deadline-r.Clock.Now())
+	reply.TargetMs = float64(time.Since(start).Microseconds()) / 1000
+	sample := gate.Sample{
+		LatencyMs: reply.TargetMs,
+		Failed:    !reply.OK() || response.Status >= http.StatusInternalServerError,
+		Cancelled: errors.Is(ctx.Err(), context.Canceled),
+	}
+	if response == nil {
+		r.Admission.Leave(d.ID, sample)
+		return reply, nil
+	}
+	response.OnClose(func() { r.Admission.Leave(d.ID, sample) })
+	return reply, response
+}
+
+// drains reports whether the list shows the target as leaving.
+func (r *Runner) drains(target string) bool {
+	v := r.Views.View()
+	if v == nil {
+		return false
+	}
+	own, listed := v.VM(target)
+	return listed && own.State == vm.Leaving
+}
+
+func (r *Runner) admit(ctx context.Context, c dispatch.Context, now, deadline clock.Millis) gate.Decision {
+	class := c.Class
+	depth := 0
+	if c.Inner {
+		// The work of the request that makes the call is lost if the call is refused, so it goes first.
+		class, depth = route.OnceOnly, 1
+	}
+	d := r.Admission.Enter(ctx, gate.Request{
+		Account: c.Account, Class: class, Depth: depth, Arrival: now, Deadline: deadline,
+	})
+	if d.Reason == call.ReasonCallerGone && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		d.Reason = call.ReasonDeadlineExceeded
+	}
+	return d
+}
+
+// send runs an admitted request at the target.
+func (r *Runner) send(
+	ctx context.Context, c dispatch.Context, request *upstream.Request, left clock.Millis,
+) (dispatch.Reply, *upstream.Response) {
+	if left <= 0 {
+		return refuse(call.ReasonDeadlineExceeded), nil
+	}
+	if c.Class == route.OnceOnly {
+		// An operation that has begun is not cut off because its caller went away.
+		ctx = context.WithoutCancel(ctx)
+	}
+	// The end of the response's body ends the context.
+	ctx, cancel := context.WithTimeout(ctx, left.Duration())
+	r.Dialect.WriteTarget(request.Header, dialect.TargetRequest{
+		RequestID: c.RequestID, Target: c.Target, Account: c.Account, Caller: c.Caller, TimeoutMs: left,
+	})
+	response, err := r.Pool.Do(ctx, request)
+	if err != nil {
+		defer cancel()
+		return failed(ctx, err), nil
+	}
+	response.OnClose(cancel)
+	said := r.Dialect.ReadTarget(response.Status, response.Header)
+	switch {
+	case said.OtherTarget:
+		response.Close()
+		return refuse(call.ReasonNoTarget), nil
+	case said.NotRun:
+		response.Close()
+		reply := refuse(call.ReasonOverloaded)
+		reply.ShedByTarget = true
+		return reply, nil
+	case !said.Genuine:
+		response.Close()
+		return dispatch.Reply{Reason: call.ReasonAnswerMismatch, Run: call.MaybeRun}, nil
+	}
+	return dispatch.Reply{Run: call.WasRun}, response
+}
+
+func refuse(reason call.Reason) dispatch.Reply {
+	return dispatch.Reply{Reason: reason, Run: call.NotRun}
+}
+
+// failed classifies an error by whether the target can have received the request.
+func failed(ctx context.Context, err error) dispatch.Reply {
+	var failure *upstream.Failure
+	if errors.As(err, &failure) && !failure.Sent {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return refuse(call.ReasonDeadlineExceeded)
+		}
+		return refuse(call.ReasonTargetDown)
+	}
+	reply := dispatch.Reply{Reason: call.ReasonTargetFailed, Run: call.MaybeRun}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reply.Reason = call.ReasonDeadlineExceeded
+	case ctx.Err() != nil:
+		reply.Reason = call.ReasonCallerGone
+	case errors.Is(err, syscall.ECONNREFUSED):
+		reply.Reason = call.ReasonTargetDown
+	}
+	return reply
+}
+
+func (r *Runner) record(c dispatch.Context, reply dispatch.Reply, received clock.Millis) {
+	action := "request run by target"
+	if !reply.OK() {
+		action = "request not answered by target"
+	}
+	now := r.Clock.Now()
+	r.Recorder.Record(decision.Decision{
+		AtMs: now, Part: decision.Gate, RequestID: c.RequestID, Account: c.Account, Route: c.Route, Action: action,
+		Node: c.Target, Reason: reply.Reason, Attempt: c.Attempt, WaitMs: reply.Load.WaitMs, FactAgeMs: -1,
+		ElapsedMs: now - received,
+	})
+}
--- /dev/null
+++ b/coltsfootd/logging/async.go
@@ -0,0 +1,52 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// queuedLines is the number of lines that may wait for a slow writer.
+const queuedLines = 2048
+
+// Async writes lines in the background, so that a reader that does not read never blocks the program. Lines beyond the
+// queue are left out and counted.
+type Async struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+// NewAsync returns a writer in front of w.
+func NewAsync(w io.Writer) *Async {
+	a := &Async{lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	go a.run(w)
+	return a
+}
+
+// Write queues a line; it never fails and never blocks.
+func (a *Async) Write(line []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), line...):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Close writes the lines that are queued. Write must not be called afterwards.
+func (a *Async) Close() error {
+	close(a.lines)
+	<-a.done
+	return nil
+}
+
+func (a *Async) run(w io.Writer) {
+	defer close(a.done)
+	for line := range a.lines {
+		if dropped := a.dropped.Swap(0); dropped > 0 {
+			_, _ = fmt.Fprintf(w, "part=logging msg=\"log lines left out, the reader is slow\" count=%d\n", dropped)
+		}
+		_, _ = w.Write(line) // There is nowhere to report that the log can't be written.
+	}
+}
--- /dev/null
+++ b/coltsfootd/mesh/doc.go
@@ -0,0 +1,2 @@
+// Package mesh builds and runs a node on a platform that publishes targets and policy as one store.
+package mesh
--- /dev/null
+++ b/coltsfootd/mesh/mesh.go
@@ -0,0 +1,270 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/zeebo/errs"
+
+	"coltsfootusher.example/coltsfootd/boottime"
+	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/directory"
+	"coltsfootusher.example/coltsfootd/drain"
+	"coltsfootusher.example/coltsfootd/forward"
+	"coltsfootusher.example/coltsfootd/gateway"
+	"coltsfootusher.example/coltsfootd/localtarget"
+	"coltsfootusher.example/coltsfootd/logging"
+	"coltsfootusher.example/coltsfootd/meshsetting"
+	"coltsfootusher.example/coltsfootd/metric"
+	"coltsfootusher.example/coltsfootd/passage"
+	"coltsfootusher.example/coltsfootd/peers"
+	"coltsfootusher.example/coltsfootd/quotas"
+	"coltsfootusher.example/coltsfootd/upstream"
+	"coltsfootusher.example/core/balance"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/gate"
+	"coltsfootusher.example/core/retry"
+	"coltsfootusher.example/core/split"
+)
+
+// Error is the class of errors that end a node.
+var Error = errs.Class("mesh")
+
+const (
+	recentDecisions   = 2048
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 90 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// leaseMarginMs covers the time between the check of a key and the start of the request at a target.
+	leaseMarginMs      clock.Millis = 400
+	reconfigureEvery                = 100 * time.Millisecond
+	retryWindowSeconds              = 10
+
+	targetDialTimeout  = time.Second
+	targetSilenceLimit = 2 * time.Second
+	// targetIdleLimit is below the idle timeout of common servers.
+	targetIdleLimit   = 6 * time.Second
+	targetMaxIdle     = 256
+	targetBufferBytes = 64 << 10
+)
+
+// Dialect speaks the headers of callers and targets.
+type Dialect interface {
+	forward.Dialect
+	localtarget.Dialect
+}
+
+// Node is one process.
+type Node struct {
+	settings    meshsetting.Settings
+	logger      log.Logger
+	clock       clock.Clock
+	incarnation uint64
+	leaving     atomic.Bool
+
+	peers     *peers.Table
+	directory *directory.Directory
+	limiter   *quotas.Limiter
+	admission *gateway.Admission
+	runner    *localtarget.Runner
+	handler   *forward.Handler
+	recorder  *decision.Recorder
+	target    *upstream.Pool
+
+	entry, peer *server
+	plain       []*http.Server
+	listeners   map[string]net.Listener
+}
+
+// server is a listener whose requests are finished at a stop.
+type server struct {
+	*drain.Server
+	name     string
+	listener net.Listener
+}
+
+// New builds a node and opens its listeners; logs go to logs.
+func New(s meshsetting.Settings, source directory.Source, dialect Dialect, logs io.Writer) (*Node, error) {
+	n := &Node{
+		settings: s, clock: boottime.Clock{}, incarnation: rand.Uint64() | 1,
+		logger: logging.New(logs, s.LogFormat, s.LogLevel, s.NodeName),
+	}
+	logging.CaptureStandard(n.logger)
+	metrics := expvar.NewMap(metric.Map)
+	n.recorder = decision.New(s.NodeName, n.logger, metrics, recentDecisions, s.LogLinesPerSecond)
+	n.peers = peers.New(s.Peer().Addr().String(), logging.Part(n.logger, "peers"))
+	n.directory = directory.New(directory.Config{
+		Address: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: n.incarnation,
+		LeaseMs: s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Source: source, Peers: n.peers,
+		Logger: logging.Part(n.logger, "directory"),
+	})
+	n.limiter = quotas.New(quotas.Config{
+		Address: s.PeerAddress, FailureDomains: max(1, len(s.FailureDomains)), Clock: n.clock, Views: n.directory,
+		Peers: n.peers, Logger: logging.Part(n.logger, "quota"),
+	})
+	n.buildTraffic(dialect)
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) buildTraffic(dialect Dialect) {
+	s := n.settings
+	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
+	n.target = upstream.New(s.TargetAddress, upstream.Settings{
+		DialTimeout: targetDialTimeout, SilenceLimit: targetSilenceLimit, IdleLimit: targetIdleLimit,
+		MaxIdle: targetMaxIdle, EchoHeader: dialect.EchoHeader(), BufferBytes: targetBufferBytes,
+	})
+	n.runner = localtarget.New(localtarget.Config{
+		Node: s.NodeName, Address: s.TargetAddress, Clock: n.clock, Dialect: dialect, Views: n.directory,
+		Admission: n.admission, Pool: n.target, Recorder: n.recorder,
+	})
+	n.handler = forward.New(forward.Config{
+		Node: s.NodeName, Service: s.Service, Clock: n.clock, Dialect: dialect, Values: n.directory, Limiter: n.limiter,
+		Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))),
+		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder,
+		Sender: forward.NewSender(forward.SenderConfig{
+			Address: s.PeerAddress, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory, Peers: n.peers,
+			Local:    n.runner,
+			Balancer: passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain)),
+			Budget:   forward.NewServiceBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds/fleetSizeForSlack),
+			Recorder: n.recorder, Random: rand.New(rand.NewPCG(n.incarnation, 3)),
+		}),
+	})
+}
+
+// fleetSizeForSlack is the number of nodes and chain levels among which the fixed part of the repeats is divided.
+const fleetSizeForSlack = 48
+
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+directory.SyncPath, n.directory.ServeSync)
+	mux.HandleFunc("POST "+directory.LeavePath, n.directory.ServeLeave)
+	mux.HandleFunc("POST "+quotas.DrawPath, n.limiter.ServeDraw)
+	mux.HandleFunc("GET "+peers.PingPath, n.servePing)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isDispatch(r) {
+			n.runner.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) listen() error {
+	s := n.settings
+	operatorAddress := netip.AddrPortFrom(s.Peer().Addr(), s.OperatorPort).String()
+	n.entry = &server{name: "entry", Server: newDrainServer(n.handler)}
+	n.peer = &server{name: "peer", Server: newDrainServer(n.peerHandler())}
+	n.listeners = make(map[string]net.Listener)
+	for name, address := range map[string]string{
+		"entry": s.EntryAddress, "peer": s.PeerAddress, "readiness": s.ReadinessAddress, "operator": operatorAddress,
+	} {
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		if err != nil {
+			return Error.New("%s address: %v", name, err)
+		}
+		n.listeners[name] = listener
+	}
+	n.entry.listener, n.peer.listener = n.listeners["entry"], n.listeners["peer"]
+	n.plain = []*http.Server{
+		{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: readHeaderTimeout},
+		{Handler: n.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout},
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, listener := range n.listeners {
+		_ = listener.Close()
+	}
+}
+
+func newDrainServer(handler http.Handler) *drain.Server {
+	return drain.New(&http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}, drain.Refusal(map[string]string{"Coltsfoot-Reason": "leaving"}))
+}
+
+// Run serves until ctx ends and then stops without cutting a request.
+func (n *Node) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, run := range []func(context.Context){n.directory.Run, n.peers.Run, n.limiter.Run, n.admission.Run, n.configure} {
+		go run(background)
+	}
+	failed := make(chan error, len(n.listeners))
+	serve := func(name string, run func(net.Listener) error) {
+		go func() {
+			if err := run(n.listeners[name]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- Error.New("%s: %v", name, err)
+			}
+		}()
+	}
+	serve("entry", n.entry.Serve)
+	serve("peer", n.peer.Serve)
+	serve("readiness", n.plain[0].Serve)
+	serve("operator", n.plain[1].Serve)
+	_ = level.Info(n.logger).Log("part", "node", "msg", "node started", "incarnation", strconv.FormatUint(n.incarnation, 10),
+		"service", n.settings.Service, "domain", n.settings.FailureDomain)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return n.stop()
+	}
+}
+
+// configure applies the published values to the gate, and announces the node once it serves.
+func (n *Node) configure(ctx context.Context) {
+	ticker := time.NewTicker(reconfigureEvery)
+	defer ticker.Stop()
+	var applied *directory.View
+	announced := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if v := n.directory.View(); v != nil && v != applied {
+			applied = v
+			n.apply(v)
+		}
+		if !announced && n.ready() {
+			announced = true
+			_ = level.Info(n.logger).Log("part", "node", "msg", "node is ready", "policy", applied.PolicyVersion)
+			n.directory.AnnouncePresence()
+		}
+	}
+}
+
+// apply sets the size of the gate by what the local target publishes of itself.
+func (n *Node) apply(v *directory.View) {
+	for _, other := range v.VMs.VMs {
+		if other.TargetAddress != n.settings.TargetAddress {
+			continue
+		}
+		slots := other.Slots
+		n.admission.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision {
+			return g.Configure(gateConfig(slots), now)
+		})
+	}
+}
+
+func (n *Node) ready() bool {
+	return n.directory.View() != nil && n.directory.Fresh() && !n.leaving.Load()
+}
--- /dev/null
+++ b/coltsfootd/message/message.go
@@ -0,0 +1,65 @@
+package message
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"coltsfootusher.example/coltsfootd/upstream"
+)
+
+// connectionHeaders belong to one connection (RFC 9110, section 7.6.1), or are set anew with each message.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// DropConnectionHeaders removes the headers that belong to one connection, those named by Connection included.
+func DropConnectionHeaders(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(h, name)
+	}
+}
+
+// Write passes a response on. If the rest of a large body breaks off, the connection is aborted, so that the receiver
+// can't take the part for the whole.
+func Write(w http.ResponseWriter, r *upstream.Response) {
+	defer r.Close()
+	DropConnectionHeaders(r.Header)
+	header := w.Header()
+	for name, values := range r.Header {
+		header[name] = values
+	}
+	if _, given := header["Date"]; !given {
+		header["Date"] = nil
+	}
+	if _, given := header["Content-Type"]; !given {
+		// Without this net/http guesses a type.
+		header["Content-Type"] = nil
+	}
+	switch {
+	case r.Rest == nil && bodyAllowed(r.Status):
+		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	case r.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	w.WriteHeader(r.Status)
+	if _, err := w.Write(r.Body); err != nil || r.Rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, r.Rest); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/coltsfootd/peers/peers.go
@@ -0,0 +1,319 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/coltsfootd/upstream"
+)
+
+const (
+	// dialTimeout is far above the distance between two failure domains.
+	dialTimeout = 400 * time.Millisecond
+	// silenceLimit is the shortest time that TCP keepalive allows.
+	silenceLimit = time.Second
+	idleLimit    = 20 * time.Second
+	maxIdle      = 64
+	// bufferBytes is the part of a response that is read before it is passed on.
+	bufferBytes = 64 << 10
+
+	checkInterval = 100 * time.Millisecond
+	// probeInterval is how often a node that can't be reached, or leaves, is asked whether it is back.
+	probeInterval = 200 * time.Millisecond
+	probeTimeout  = 500 * time.Millisecond
+	// quietLimit is the time without a byte from a node that owes answers after which it is asked for a sign of life.
+	quietLimit = 300 * time.Millisecond
+)
+
+// PingPath answers with a Pong.
+const PingPath = "/coltsfoot/ping"
+
+// ErrSilent is the cause with which calls to a node are cancelled that does not answer a probe.
+var ErrSilent = errors.New("the node does not answer")
+
+// Pong says who answers.
+type Pong struct {
+	Incarnation uint64 `json:"incarnation,string"`
+	Leaving     bool   `json:"leaving,omitempty"`
+}
+
+// Peer is another node.
+type Peer struct {
+	pool  *upstream.Pool
+	table *Table
+
+	mu sync.Mutex
+	// down is true from a failed connection until a probe succeeds.
+	down bool
+	// leaving is the incarnation that said it takes no new work; 0 if none did.
+	leaving uint64
+	probing bool
+	aliveAt time.Time
+	probeAt time.Time
+	// calls are the calls under way, with the functions that cancel them; nil for those that must not be cancelled.
+	calls  map[uint64]flight
+	nextID uint64
+}
+
+type flight struct {
+	started time.Time
+	cancel  context.CancelCauseFunc
+}
+
+// Table holds the peers by address.
+type Table struct {
+	source string
+	logger log.Logger
+
+	mu    sync.Mutex
+	peers map[string]*Peer
+}
+
+// New returns a table of a node that connects from the IP address source.
+func New(source string, logger log.Logger) *Table {
+	return &Table{source: source, logger: logger, peers: make(map[string]*Peer)}
+}
+
+// Get returns the peer at the address.
+func (t *Table) Get(address string) *Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[address]
+	if p == nil {
+		p = &Peer{table: t, calls: make(map[uint64]flight), pool: upstream.New(address, upstream.Settings{
+			Source: t.source, DialTimeout: dialTimeout, SilenceLimit: silenceLimit, IdleLimit: idleLimit,
+			MaxIdle: maxIdle, BufferBytes: bufferBytes,
+		})}
+		t.peers[address] = p
+	}
+	return p
+}
+
+// Usable reports whether the node at the address gets new work.
+func (t *Table) Usable(address string) bool {
+	p := t.Get(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.down && p.leaving == 0
+}
+
+// Reachable reports whether the node at the address answers, even if it leaves.
+func (t *Table) Reachable(address string) bool {
+	p := t.Get(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.down
+}
+
+// Leaving records that the incarnation of the node at the address takes no new work.
+func (t *Table) Leaving(address string, incarnation uint64) {
+	p := t.Get(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leaving == incarnation {
+		return
+	}
+	p.leaving = incarnation
+	p.probeAt = time.Now().Add(probeInterval)
+	_ = level.Info(t.logger).Log("msg", "peer is leaving", "peer", address, "incarnation", incarnation)
+}
+
+// Present records that the incarnation of the node at the address has started and serves.
+func (t *Table) Present(address string, incarnation uint64) {
+	t.Get(address).alive(Pong{Incarnation: incarnation})
+}
+
+// Keep forgets the peers that are not listed and have no call under way.
+func (t *Table) Keep(listed map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, p := range t.peers {
+		if !listed[address] && p.idle() {
+			p.pool.CloseIdle()
+			delete(t.peers, address)
+		}
+	}
+}
+
+// Run probes peers until ctx ends.
+func (t *Table) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, p := range t.all() {
+				p.pool.Expire(now)
+				if p.needsProbe(now) {
+					go p.probe(ctx)
+				}
+			}
+		}
+	}
+}
+
+func (t *Table) all() []*Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]*Peer, 0, len(t.peers))
+	for _, p := range t.peers {
+		all = append(all, p)
+	}
+	return all
+}
+
+// Do sends a request to the peer. A call that may be cancelled ends with ErrSilent as its cause when the node does not
+// answer a probe.
+func (p *Peer) Do(ctx context.Context, r *upstream.Request, cancellable bool) (*upstream.Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	id := p.begin(cancel, cancellable)
+	response, err := p.pool.Do(ctx, r)
+	p.end(id)
+	if err == nil && response.Rest != nil {
+		// The context must outlive the rest of the body; the caller's context ends it.
+		return response, nil
+	}
+	if err != nil && context.Cause(ctx) != nil {
+		err = withCause(err, context.Cause(ctx))
+	}
+	cancel(nil)
+	var failure *upstream.Failure
+	if errors.As(err, &failure) && failure.Unreachable {
+		p.setDown(failure.Err)
+	}
+	return response, err
+}
+
+func withCause(err, cause error) error {
+	var failure *upstream.Failure
+	if errors.As(err, &failure) {
+		return &upstream.Failure{Sent: failure.Sent, Reused: failure.Reused, Err: errors.Join(cause, failure.Err)}
+	}
+	return err
+}
+
+func (p *Peer) begin(cancel context.CancelCauseFunc, cancellable bool) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextID++
+	f := flight{started: time.Now()}
+	if cancellable {
+		f.cancel = cancel
+	}
+	p.calls[p.nextID] = f
+	return p.nextID
+}
+
+func (p *Peer) end(id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.calls, id)
+}
+
+func (p *Peer) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.calls) == 0
+}
+
+// needsProbe reports whether the peer is to be asked for a sign of life, and marks it as asked.
+func (p *Peer) needsProbe(now time.Time) bool {
+	heard := p.pool.HeardAt()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.probing {
+		return false
+	}
+	due := false
+	if p.down || p.leaving != 0 {
+		due = !now.Before(p.probeAt)
+	} else if oldest, any := p.oldest(); any {
+		if heard.Before(p.aliveAt) {
+			heard = p.aliveAt
+		}
+		if heard.Before(oldest) {
+			heard = oldest
+		}
+		due = now.Sub(heard) > quietLimit
+	}
+	p.probing = due
+	return due
+}
+
+func (p *Peer) oldest() (started time.Time, any bool) {
+	for _, f := range p.calls {
+		if !any || f.started.Before(started) {
+			started, any = f.started, true
+		}
+	}
+	return started, any
+}
+
+// probe asks on a new connection, since the old ones may be silent while new ones work.
+func (p *Peer) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	fresh := upstream.New(p.pool.Address(), upstream.Settings{
+		Source: p.table.source, DialTimeout: dialTimeout, SilenceLimit: silenceLimit, BufferBytes: bufferBytes,
+	})
+	response, err := fresh.Do(ctx, &upstream.Request{Method: http.MethodGet, URI: PingPath, Host: p.pool.Address()})
+	var pong Pong
+	if err == nil {
+		err = json.Unmarshal(response.Body, &pong)
+	}
+	if err != nil {
+		p.setDown(err)
+	} else {
+		p.alive(pong)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probing = false
+	p.probeAt = time.Now().Add(probeInterval)
+}
+
+func (p *Peer) alive(pong Pong) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.aliveAt = time.Now()
+	changed := p.down
+	p.down = false
+	switch {
+	case pong.Leaving:
+		changed = changed || p.leaving != pong.Incarnation
+		p.leaving = pong.Incarnation
+	case p.leaving != 0 && p.leaving != pong.Incarnation:
+		changed = true
+		p.leaving = 0
+	}
+	if changed {
+		_ = level.Info(p.table.logger).Log("msg", "peer answers", "peer", p.pool.Address(), "incarnation", pong.Incarnation,
+			"leaving", p.leaving != 0)
+	}
+}
+
+// setDown takes the peer out of the choice and ends the calls that may be sent elsewhere.
+func (p *Peer) setDown(cause error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.down {
+		p.probeAt = time.Now().Add(probeInterval)
+		_ = level.Warn(p.table.logger).Log("msg", "peer can't be reached", "peer", p.pool.Address(), "calls", len(p.calls),
+			"err", cause)
+	}
+	p.down = true
+	for _, f := range p.calls {
+		if f.cancel != nil {
+			f.cancel(ErrSilent)
+		}
+	}
+}
--- /dev/null
+++ b/coltsfootd/quotas/quotas.go
@@ -0,0 +1,167 @@
+package quotas
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"coltsfootusher.example/coltsfootd/directory"
+	"coltsfootusher.example/coltsfootd/peers"
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/quota"
+)
+
+const (
+	drawTimeout = 150 * time.Millisecond
+	// borrowTimeout bounds the question to the owners of other failure domains.
+	borrowTimeout = 60 * time.Millisecond
+	// borrowPauseMs is the time for which a domain that had nothing to lend is not asked again.
+	borrowPauseMs clock.Millis = 100
+	// freshShareMs is the time of its rate that a bucket holds when its owner has just taken over.
+	freshShareMs = 500
+	// minRetryMs and maxRetryMs bound the advice when to return.
+	minRetryMs clock.Millis = 50
+	maxRetryMs clock.Millis = 2000
+	idleEvery               = 10 * time.Second
+)
+
+// DrawPath serves draws of tokens by other nodes.
+const DrawPath = "/coltsfoot/draw"
+
+// Views yields the published values in force.
+type Views interface {
+	View() *directory.View
+}
+
+// Config are the settings and dependencies of a Limiter.
+type Config struct {
+	Address        string
+	FailureDomains int
+	Clock          clock.Clock
+	Views          Views
+	Peers          *peers.Table
+	Logger         log.Logger
+}
+
+// Limiter holds the tokens that this node has drawn, and the buckets that it owns for its failure domain.
+//
+// Each failure domain gets an equal share of every account's rate. Within a domain one node owns the bucket of an
+// account, chosen by rendezvous hashing. Owners of different domains lend to each other.
+type Limiter struct {
+	Config
+
+	mu     sync.Mutex
+	stocks map[string]*stock
+
+	owned ownedBuckets
+}
+
+// stock is the tokens of one account with the requests that wait for more.
+type stock struct {
+	quota.Stock
+	waiting []chan verdict
+	drawing bool
+}
+
+type verdict struct {
+	ok           bool
+	retryAfterMs clock.Millis
+}
+
+// New returns a limiter without tokens.
+func New(c Config) *Limiter {
+	return &Limiter{Config: c, stocks: make(map[string]*stock), owned: ownedBuckets{buckets: make(map[string]*bucket)}}
+}
+
+// Run forgets accounts without demand until ctx ends.
+func (l *Limiter) Run(ctx context.Context) {
+	ticker := time.NewTicker(idleEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.forgetIdle()
+		}
+	}
+}
+
+func (l *Limiter) forgetIdle() {
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, s := range l.stocks {
+		if !s.drawing && s.Idle(now) {
+			delete(l.stocks, id)
+		}
+	}
+}
+
+// Admit takes one token of the account. If there is none, retryAfterMs says when one is expected.
+func (l *Limiter) Admit(ctx context.Context, a account.Account) (ok bool, retryAfterMs clock.Millis) {
+	if a.RatePerSecond <= 0 {
+		return true, 0
+	}
+	l.mu.Lock()
+	s := l.stocks[a.ID]
+	if s == nil {
+		s = &stock{}
+		l.stocks[a.ID] = s
+	}
+	if s.Spend(l.Clock.Now()) {
+		l.mu.Unlock()
+		return true, 0
+	}
+	decided := make(chan verdict, 1)
+	s.waiting = append(s.waiting, decided)
+	if !s.drawing {
+		s.drawing = true
+		go l.draw(a, s)
+	}
+	l.mu.Unlock()
+	select {
+	case v := <-decided:
+		return v.ok, v.retryAfterMs
+	case <-ctx.Done():
+		return false, 0
+	}
+}
+
+// draw fetches tokens until no request waits.
+func (l *Limiter) draw(a account.Account, s *stock) {
+	for {
+		l.mu.Lock()
+		if len(s.waiting) == 0 {
+			s.drawing = false
+			l.mu.Unlock()
+			return
+		}
+		ask := drawRequest{Account: a.ID, Need: len(s.waiting), Spare: s.Prefetch(l.Clock.Now())}
+		l.mu.Unlock()
+		reply := l.ask(a, ask)
+		l.settle(s, ask.Need, reply)
+	}
+}
+
+// settle gives the tokens to the requests that waited when they were asked for, and refuses those that got none.
+func (l *Limiter) settle(s *stock, asked int, reply drawReply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	s.Add(reply.Granted, now)
+	waiting := s.waiting[:asked]
+	s.waiting = s.waiting[asked:]
+	retry := min(max(reply.RetryAfterMs, minRetryMs), maxRetryMs)
+	for i, decided := range waiting {
+		if s.Use(now) {
+			decided <- verdict{ok: true}
+			continue
+		}
+		// The later ones are told to return later, in the order in which tokens will be there.
+		decided <- verdict{retryAfterMs: min(retry*clock.Millis(1+i), maxRetryMs)}
+	}
+}
--- /dev/null
+++ b/coltsfootd/upstream/error.go
@@ -0,0 +1,27 @@
+package upstream
+
+import "github.com/zeebo/errs"
+
+// Error is the class of errors of this package.
+var Error = errs.Class("upstream")
+
+// Failure is an error with what it proves about the request.
+type Failure struct {
+	// Sent is true if a part of the request may have reached the receiver.
+	Sent bool
+	// Reused is true if the request was sent on a connection that had served another one.
+	Reused bool
+	// Unreachable is true if no connection could be opened.
+	Unreachable bool
+	Err         error
+}
+
+// Error returns the text of the cause.
+func (f *Failure) Error() string {
+	return f.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error {
+	return f.Err
+}
--- /dev/null
+++ b/coltsfootd/upstream/message.go
@@ -0,0 +1,92 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// Request is a message to send. The URI is sent as it is.
+type Request struct {
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// write sends the message. Headers that belong to one connection must not be in the header.
+func (r *Request) write(w *bufio.Writer) error {
+	// bufio.Writer keeps its first error and returns it from Flush.
+	_, _ = w.WriteString(r.Method)
+	_ = w.WriteByte(' ')
+	_, _ = w.WriteString(r.URI)
+	_, _ = w.WriteString(" HTTP/1.1\r\nHost: ")
+	_, _ = w.WriteString(r.Host)
+	_, _ = w.WriteString("\r\n")
+	if err := r.Header.Write(w); err != nil {
+		return err
+	}
+	if len(r.Body) > 0 || hasBody(r.Method) {
+		_, _ = w.WriteString("Content-Length: ")
+		_, _ = w.WriteString(strconv.Itoa(len(r.Body)))
+		_, _ = w.WriteString("\r\n")
+	}
+	_, _ = w.WriteString("\r\n")
+	_, _ = w.Write(r.Body)
+	return w.Flush()
+}
+
+// hasBody reports whether a request of the method announces its length even when that is zero.
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// Response is a complete answer, or the beginning of a large one.
+type Response struct {
+	Status int
+	Header http.Header
+	// Body is the whole body, or its first part when Rest is set.
+	Body []byte
+	// Rest yields the part of a large body that was not buffered; closing it releases the connection.
+	Rest io.ReadCloser
+	// Length is the announced length of the body, or -1.
+	Length int64
+}
+
+// Close releases the connection of a response whose rest is not read.
+func (r *Response) Close() {
+	if r.Rest != nil {
+		_ = r.Rest.Close()
+	}
+}
+
+// Whole returns the whole body, reading what was not buffered.
+func (r *Response) Whole() ([]byte, error) {
+	if r.Rest == nil {
+		return r.Body, nil
+	}
+	rest, err := io.ReadAll(r.Rest)
+	return append(r.Body, rest...), err
+}
+
+// OnClose calls f after the rest of the body is closed, or at once if there is none.
+func (r *Response) OnClose(f func()) {
+	if r.Rest == nil {
+		f()
+		return
+	}
+	r.Rest = closer{r.Rest, f}
+}
+
+type closer struct {
+	io.ReadCloser
+	after func()
+}
+
+// Close closes the body and then calls the function.
+func (c closer) Close() error {
+	defer c.after()
+	return c.ReadCloser.Close()
+}
--- /dev/null
+++ b/coltsfootd/upstream/pool.go
@@ -0,0 +1,232 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Settings are the settings of a pool.
+type Settings struct {
+	// Source is the IP address from which connections are opened; empty lets the system choose.
+	Source string
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// SilenceLimit is the time after which a connection whose bytes are not acknowledged counts as broken.
+	SilenceLimit time.Duration
+	// IdleLimit is the time for which an idle connection is used again.
+	IdleLimit time.Duration
+	// MaxIdle is the number of idle connections that are kept.
+	MaxIdle int
+	// EchoHeader names the request header that the receiver repeats in its response; empty if there is none.
+	EchoHeader string
+	// BufferBytes is the part of a response that is buffered.
+	BufferBytes int64
+}
+
+// Pool sends requests to one address.
+type Pool struct {
+	address  string
+	settings Settings
+	dialer   net.Dialer
+
+	mu   sync.Mutex
+	idle []*conn
+
+	heard  atomic.Int64
+	opened atomic.Int64
+}
+
+// New returns a pool of connections to the address.
+func New(address string, s Settings) *Pool {
+	p := &Pool{address: address, settings: s}
+	p.dialer = net.Dialer{
+		Timeout: s.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: s.SilenceLimit, Interval: s.SilenceLimit, Count: 1,
+		},
+		ControlContext: func(_ context.Context, _, _ string, raw syscall.RawConn) error {
+			return setSilenceLimit(raw, s.SilenceLimit)
+		},
+	}
+	if ip := net.ParseIP(s.Source); ip != nil {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return p
+}
+
+// Address returns the address to which the pool sends.
+func (p *Pool) Address() string {
+	return p.address
+}
+
+// Opened returns the number of connections that were opened.
+func (p *Pool) Opened() int64 {
+	return p.opened.Load()
+}
+
+// HeardAt returns the time at which bytes last arrived; the zero time if none ever did.
+func (p *Pool) HeardAt() time.Time {
+	at := p.heard.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
+// Do sends the request once and returns the response. The error is always a *Failure.
+func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
+	c, err := p.take(ctx)
+	if err != nil {
+		return nil, &Failure{Unreachable: ctx.Err() == nil, Err: err}
+	}
+	reused := c.used
+	c.used = true
+	// The end of the context unblocks reads and writes; the connection is not used again then.
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	response, sent, err := c.exchange(ctx, r, p.settings.EchoHeader)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, &Failure{Sent: sent, Reused: reused, Err: cause(ctx, err)}
+	}
+	answer, err := p.read(ctx, c, response, stop)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, &Failure{Sent: true, Reused: reused, Err: cause(ctx, err)}
+	}
+	return answer, nil
+}
+
+// cause prefers the end of the context to the error that it made on the connection.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return errors.Join(ctx.Err(), err)
+	}
+	return err
+}
+
+func (p *Pool) read(ctx context.Context, c *conn, response *http.Response, stop func() bool) (*Response, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, p.settings.BufferBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	answer := &Response{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}
+	if int64(len(body)) > p.settings.BufferBytes {
+		answer.Rest = &rest{ReadCloser: response.Body, conn: c, stop: stop}
+		return answer, nil
+	}
+	if !stop() || ctx.Err() != nil {
+		_ = c.Close()
+		return answer, nil
+	}
+	p.release(c, response)
+	return answer, nil
+}
+
+func (p *Pool) take(ctx context.Context) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		if c.usable(now) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	opened, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	p.opened.Add(1)
+	return newConn(opened, p.settings.IdleLimit, &p.heard), nil
+}
+
+func (p *Pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return c
+}
+
+// release keeps the connection for the next request if nothing speaks against it.
+func (p *Pool) release(c *conn, response *http.Response) {
+	if response.Close || c.reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	c.idleSince = time.Now()
+	c.idleLimit = keepAliveLimit(response.Header, p.settings.IdleLimit)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= p.settings.MaxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
+
+// Expire closes the connections that have been idle for too long.
+func (p *Pool) Expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.idleSince) < c.idleLimit {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Close()
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// rest is the part of a large body that was not buffered. Its connection is not used again.
+type rest struct {
+	io.ReadCloser
+	conn *conn
+	stop func() bool
+}
+
+// Close closes the connection.
+func (r *rest) Close() error {
+	r.stop()
+	return r.conn.Close()
+}
+
+// setSilenceLimit makes the system give up a connection when sent bytes stay without acknowledgement.
+func setSilenceLimit(raw syscall.RawConn, limit time.Duration) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
--- a/core/account/account.go
+++ b/core/account/account.go
@@ -24,6 +24,8 @@
 	Burst float64 `json:"burst"`
 	// Weight is the account's part of a contended gate relative to other accounts; 0 means 1.
 	Weight float64 `json:"weight,omitempty"`
+	// Priority, if set, replaces the priority of the route for the account's requests.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Section is the published value "accounts".
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -85,6 +85,17 @@
 	return &next, nil
 }
 
+// Assemble returns a snapshot of sections that a publisher with its own format has checked.
+func Assemble(version int64, routes []route.Route, accounts []account.Account, services []service.Service, vms []vm.VM) *Snapshot {
+	s := &Snapshot{Versions: map[Name]int64{Routes: version, Accounts: version, Services: version}}
+	s.Routes.Routes = routes
+	s.Accounts.Accounts = accounts
+	s.Services.Services = services
+	s.VMs.VMs = vms
+	s.index()
+	return s
+}
+
 func (s *Snapshot) index() {
 	s.accountsByHash = make(map[string]*account.Account)
 	s.accountsByID = make(map[string]*account.Account, len(s.Accounts.Accounts))
@@ -150,6 +161,16 @@
 	return route.Route{}, false
 }
 
+// RouteFor returns the route with the longest prefix among those of the host that match path.
+func (s *Snapshot) RouteFor(host, path string) (route.Route, bool) {
+	for _, r := range s.routesByLength {
+		if (r.Host == "" || r.Host == host) && r.Matches(path) {
+			return r, true
+		}
+	}
+	return route.Route{}, false
+}
+
 // VM returns the VM with the name.
 func (s *Snapshot) VM(name string) (vm.VM, bool) {
 	v, ok := s.vmsByName[name]
--- /dev/null
+++ b/core/freshness/freshness.go
@@ -0,0 +1,73 @@
+package freshness
+
+import "coltsfootusher.example/core/clock"
+
+// Lease says until when a node may act on published state that it can't verify at the moment.
+//
+// A confirmation counts from the time at which the request for it was sent, so that a value which was replaced while
+// the answer was under way is never taken as newer than it is. Times come from a clock that also runs while the machine
+// is suspended. The zero value has never been confirmed.
+type Lease struct {
+	version     int64
+	confirmedAt clock.Millis
+	confirmed   bool
+}
+
+// Confirm records that version was the newest one at the time sentAt. An older version or an older confirmation changes
+// nothing; it reports whether the lease was extended.
+func (l *Lease) Confirm(version int64, sentAt clock.Millis) bool {
+	if l.confirmed && (version < l.version || sentAt <= l.confirmedAt) {
+		return false
+	}
+	l.version = version
+	l.confirmedAt = sentAt
+	l.confirmed = true
+	return true
+}
+
+// Version returns the version that was confirmed last, 0 if none was.
+func (l *Lease) Version() int64 {
+	return l.version
+}
+
+// Age returns the time since the last confirmation, or clock.Never.
+func (l *Lease) Age(now clock.Millis) clock.Millis {
+	if !l.confirmed {
+		return clock.Never
+	}
+	return max(0, now-l.confirmedAt)
+}
+
+// Schedule decides when a node refreshes its lease and from whom.
+//
+// The nodes of a failure domain are ranked. The first reads the platform itself, the others ask it; each further rank
+// reads the platform when the confirmations that it gets from its peers have become old, so that a reader that fails is
+// replaced without an election.
+type Schedule struct {
+	// ReadEveryMs is the age of the confirmation at which the first rank reads the platform.
+	ReadEveryMs clock.Millis
+	// AskEveryMs is the age at which the other ranks ask a peer.
+	AskEveryMs clock.Millis
+	// TakeoverMs is the age at which the second rank reads the platform; each further rank waits RankStepMs more.
+	TakeoverMs clock.Millis
+	RankStepMs clock.Millis
+}
+
+// maxRankSteps bounds the wait of the last ranks, since each of them must read the platform before its lease ends.
+const maxRankSteps = 5
+
+// ReadDue reports whether the node of the rank reads the platform now; a rank below 0 counts as the first.
+func (s Schedule) ReadDue(rank int, age clock.Millis) bool {
+	if rank <= 0 {
+		return age >= s.ReadEveryMs
+	}
+	return age >= s.TakeoverMs+clock.Millis(min(rank-1, maxRankSteps))*s.RankStepMs
+}
+
+// AskDue reports whether the node of the rank asks a peer now. The first rank asks only when its own reads fail.
+func (s Schedule) AskDue(rank int, age clock.Millis) bool {
+	if rank <= 0 {
+		return age >= s.TakeoverMs
+	}
+	return age >= s.AskEveryMs
+}
--- /dev/null
+++ b/core/freshness/freshness_test.go
@@ -0,0 +1,38 @@
+package freshness_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/freshness"
+)
+
+// Guards against an answer that was under way for long, or repeated, making old state look confirmed.
+func TestLeaseCountsFromTheTimeOfTheRequest(t *testing.T) {
+	var l freshness.Lease
+	assert.Equal(t, l.Age(1000), clock.Never)
+	assert.Assert(t, l.Confirm(7, 1000))
+	assert.Equal(t, l.Age(3500), clock.Millis(2500))
+	assert.Assert(t, !l.Confirm(7, 900), "an older confirmation must not shorten or extend the lease")
+	assert.Assert(t, !l.Confirm(6, 3000), "an older version must not confirm a newer one")
+	assert.Equal(t, l.Age(3500), clock.Millis(2500))
+	assert.Assert(t, l.Confirm(9, 3400))
+	assert.Equal(t, l.Version(), int64(9))
+	assert.Equal(t, l.Age(3500), clock.Millis(100))
+}
+
+// Guards against a failure domain without a reader when the first ranks fail, and against all nodes reading at once.
+func TestScheduleReplacesAFailedReaderByRank(t *testing.T) {
+	s := freshness.Schedule{ReadEveryMs: 1000, AskEveryMs: 700, TakeoverMs: 1600, RankStepMs: 200}
+	assert.Assert(t, s.ReadDue(0, 1000))
+	assert.Assert(t, !s.ReadDue(1, 1500), "the second rank must leave the platform to the first")
+	assert.Assert(t, s.ReadDue(1, 1600))
+	assert.Assert(t, !s.ReadDue(2, 1700))
+	assert.Assert(t, s.ReadDue(2, 1800))
+	assert.Assert(t, s.ReadDue(50, 2600), "the last rank must read before a lease of a few seconds ends")
+	assert.Assert(t, s.AskDue(3, 700))
+	assert.Assert(t, !s.AskDue(0, 1500))
+	assert.Assert(t, s.AskDue(0, 1600))
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,65 @@
+package quota_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/quota"
+)
+
+// Guards against an account that gets more than its rate and burst in some window when it sends several times its rate.
+func TestBucketBoundsEveryWindow(t *testing.T) {
+	const seed = 11
+	t.Logf("seed=%d", seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	rate := quota.Rate{PerSecond: 40, Burst: 25}
+	b := quota.NewBucket(rate, 25, 0)
+	var granted []clock.Millis
+	for now := clock.Millis(0); now < 20_000; now += clock.Millis(random.IntN(8)) {
+		for range b.Take(random.IntN(3), now) {
+			granted = append(granted, now)
+		}
+	}
+	for i := range granted {
+		for j := i; j < len(granted); j++ {
+			window := float64(granted[j]-granted[i]) / 1000
+			assert.Assert(t, float64(j-i+1) <= rate.PerSecond*window+rate.Burst+1, "window of %v s", window)
+		}
+	}
+	assert.Assert(t, len(granted) >= 20*40)
+}
+
+// Guards against a share so small that the account is never served by it.
+func TestBucketOfLessThanOneTokenStillGrants(t *testing.T) {
+	b := quota.NewBucket(quota.Rate{PerSecond: 2, Burst: 0.5}, 0.5, 0)
+	granted := 0
+	for now := clock.Millis(0); now < 10_000; now += 10 {
+		granted += b.Take(1, now)
+	}
+	assert.Assert(t, granted >= 18 && granted <= 21, granted)
+}
+
+// Guards against tokens drawn in a quiet moment being used long after, on top of tokens drawn since.
+func TestStockLapses(t *testing.T) {
+	var s quota.Stock
+	s.Add(3, 0)
+	assert.Assert(t, s.Spend(500))
+	assert.Assert(t, !s.Spend(1000))
+	s.Add(1, 1000)
+	assert.Assert(t, s.Spend(1001))
+	assert.Assert(t, !s.Spend(1002))
+}
+
+// Guards against a steady account that waits for a draw at each request.
+func TestPrefetchFollowsDemand(t *testing.T) {
+	var s quota.Stock
+	for now := clock.Millis(0); now < 5000; now += 10 {
+		s.Spend(now)
+	}
+	got := s.Prefetch(5000)
+	assert.Assert(t, got >= 15 && got <= 25, got)
+	assert.Equal(t, s.Prefetch(20_000), 0)
+}
--- /dev/null
+++ b/core/quota/rated.go
@@ -0,0 +1,35 @@
+package quota
+
+import (
+	"math"
+
+	"coltsfootusher.example/core/clock"
+)
+
+// Rated measures the rate of events with exponential decay.
+type Rated struct {
+	weight  float64
+	updated clock.Millis
+}
+
+// Add counts one event.
+func (r *Rated) Add(now clock.Millis) {
+	r.decay(now)
+	r.weight++
+}
+
+// PerSecond returns the recent rate.
+func (r *Rated) PerSecond(now clock.Millis) float64 {
+	r.decay(now)
+	// The weights of a steady rate sum up to rate x half-life / ln 2.
+	return r.weight * math.Ln2 * millisPerSecond / demandHalfLifeMs
+}
+
+func (r *Rated) decay(now clock.Millis) {
+	elapsed := float64(now - r.updated)
+	if elapsed <= 0 {
+		return
+	}
+	r.weight *= math.Exp2(-elapsed / demandHalfLifeMs)
+	r.updated = now
+}
--- /dev/null
+++ b/core/quota/stock.go
@@ -0,0 +1,54 @@
+package quota
+
+import "coltsfootusher.example/core/clock"
+
+const (
+	// leaseMs is the time for which unused tokens stay valid at the node that drew them.
+	leaseMs clock.Millis = 1000
+	// prefetchMs is the time of demand that a draw covers beyond the requests that wait.
+	prefetchMs = 200
+	// demandHalfLifeMs smooths the measured demand.
+	demandHalfLifeMs = 500
+)
+
+// Stock holds the tokens of one account that a node has drawn and not used.
+type Stock struct {
+	tokens  int
+	expires clock.Millis
+	demand  Rated
+}
+
+// Spend uses one token and reports whether one was left. It also counts the request as demand.
+func (s *Stock) Spend(now clock.Millis) bool {
+	s.demand.Add(now)
+	return s.Use(now)
+}
+
+// Use uses one token without counting demand.
+func (s *Stock) Use(now clock.Millis) bool {
+	if s.tokens == 0 || now >= s.expires {
+		s.tokens = 0
+		return false
+	}
+	s.tokens--
+	return true
+}
+
+// Prefetch returns the number of tokens worth drawing ahead of demand.
+func (s *Stock) Prefetch(now clock.Millis) int {
+	return int(s.demand.PerSecond(now) * prefetchMs / millisPerSecond)
+}
+
+// Add stores drawn tokens.
+func (s *Stock) Add(tokens int, now clock.Millis) {
+	if now >= s.expires {
+		s.tokens = 0
+	}
+	s.tokens += tokens
+	s.expires = now + leaseMs
+}
+
+// Idle reports whether the account has had no demand for long.
+func (s *Stock) Idle(now clock.Millis) bool {
+	return now >= s.expires && s.demand.PerSecond(now) < 1e-3
+}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,186 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/vm"
+)
+
+const (
+	// maxRemovals is the number of removed entries that are remembered for peers.
+	maxRemovals = 512
+	// LapseGraceMs is the time after the publisher's return for which an entry that lapsed during its absence is still
+	// used. Targets that live write their entries again within this time.
+	LapseGraceMs clock.Millis = 1800
+)
+
+// Change is one entry of the published list at a revision.
+type Change struct {
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
+	// VM is nil if the entry was removed or names no usable target.
+	VM *vm.VM `json:"vm,omitempty"`
+}
+
+// Delta brings a roster to a revision.
+type Delta struct {
+	Revision int64 `json:"revision"`
+	// Base is the revision after which the changes begin.
+	Base int64 `json:"base,omitempty"`
+	// Whole is true if the changes are the complete list, so that all other entries are gone.
+	Whole   bool     `json:"whole,omitempty"`
+	Changes []Change `json:"changes,omitempty"`
+}
+
+type entry struct {
+	vm       vm.VM
+	revision int64
+	// lapsesAt is the time at which an entry that was removed during an absence of the publisher counts as gone;
+	// 0 for an entry that is listed.
+	lapsesAt clock.Millis
+}
+
+// Roster is the list as one node knows it. It is not safe for concurrent use.
+type Roster struct {
+	revision int64
+	entries  map[string]*entry
+	// removals are the latest removed entries, the earliest first.
+	removals []Change
+	// forgotten is the revision up to which removals are no longer remembered.
+	forgotten int64
+	// regainedAt is the time at which the publisher was last reached again after an absence.
+	regainedAt clock.Millis
+	absent     bool
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{entries: make(map[string]*entry), regainedAt: -LapseGraceMs}
+}
+
+// Revision returns the revision up to which the list is known.
+func (r *Roster) Revision() int64 {
+	return r.revision
+}
+
+// PublisherLost says that the publisher can't be reached at the moment.
+func (r *Roster) PublisherLost() {
+	r.absent = true
+}
+
+// PublisherReached says that the publisher has answered.
+func (r *Roster) PublisherReached(now clock.Millis) {
+	if r.absent {
+		r.absent, r.regainedAt = false, now
+	}
+}
+
+// Apply takes a delta and returns the changes that were news.
+func (r *Roster) Apply(d Delta, now clock.Millis) []Change {
+	var news []Change
+	listed := make(map[string]bool, len(d.Changes))
+	for _, c := range d.Changes {
+		listed[c.Name] = true
+		if r.applyChange(c, now) {
+			news = append(news, c)
+		}
+	}
+	if d.Whole {
+		for name, e := range r.entries {
+			if gone := (Change{Name: name, Revision: d.Revision}); !listed[name] && e.revision < d.Revision && r.applyChange(gone, now) {
+				news = append(news, gone)
+			}
+		}
+	}
+	if d.Whole || d.Base <= r.revision {
+		// Otherwise changes between the known revision and the base may be missing.
+		r.revision = max(r.revision, d.Revision)
+	}
+	return news
+}
+
+func (r *Roster) applyChange(c Change, now clock.Millis) bool {
+	known := r.entries[c.Name]
+	if known != nil && known.revision >= c.Revision {
+		return false
+	}
+	if c.VM != nil && known != nil && known.lapsesAt == 0 && c.VM.ReportedBefore(known.vm) {
+		// An old report that was written late says nothing new.
+		known.revision = c.Revision
+		return false
+	}
+	if c.VM != nil {
+		r.entries[c.Name] = &entry{vm: *c.VM, revision: c.Revision}
+		return true
+	}
+	r.remember(c)
+	if known == nil {
+		return false
+	}
+	if known.vm.State == vm.Live && now < r.regainedAt+LapseGraceMs {
+		news := known.lapsesAt == 0
+		known.lapsesAt = r.regainedAt + LapseGraceMs
+		return news
+	}
+	delete(r.entries, c.Name)
+	return true
+}
+
+func (r *Roster) remember(c Change) {
+	r.removals = append(r.removals, c)
+	if excess := len(r.removals) - maxRemovals; excess > 0 {
+		r.forgotten = max(r.forgotten, r.removals[excess-1].Revision)
+		r.removals = slices.Delete(r.removals, 0, excess)
+	}
+}
+
+// Expire drops the entries that lapsed while the publisher was absent and did not come back. It reports whether there
+// were any.
+func (r *Roster) Expire(now clock.Millis) bool {
+	expired := false
+	for name, e := range r.entries {
+		if e.lapsesAt != 0 && now >= e.lapsesAt {
+			delete(r.entries, name)
+			expired = true
+		}
+	}
+	return expired
+}
+
+// Since returns what a peer with the revision lacks.
+func (r *Roster) Since(revision int64) Delta {
+	d := Delta{Revision: r.revision, Base: revision}
+	if revision >= r.revision {
+		return d
+	}
+	d.Whole = revision == 0 || revision < r.forgotten
+	for name, e := range r.entries {
+		if e.lapsesAt == 0 && (d.Whole || e.revision > revision) {
+			v := e.vm
+			d.Changes = append(d.Changes, Change{Name: name, Revision: e.revision, VM: &v})
+		}
+	}
+	if !d.Whole {
+		for _, c := range r.removals {
+			if c.Revision > revision {
+				d.Changes = append(d.Changes, c)
+			}
+		}
+	}
+	slices.SortFunc(d.Changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Name, b.Name))
+	})
+	return d
+}
+
+// VMs returns the entries in force, sorted by name.
+func (r *Roster) VMs() []vm.VM {
+	vms := make([]vm.VM, 0, len(r.entries))
+	for _, e := range r.entries {
+		vms = append(vms, e.vm)
+	}
+	slices.SortFunc(vms, func(a, b vm.VM) int { return cmp.Compare(a.Name, b.Name) })
+	return vms
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,96 @@
+package roster_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/roster"
+	"coltsfootusher.example/core/vm"
+)
+
+func listed(name string, revision int64, state vm.State) roster.Change {
+	return roster.Change{Name: name, Revision: revision, VM: &vm.VM{Name: name, Service: "riders", State: state}}
+}
+
+func names(r *roster.Roster) string {
+	all := ""
+	for _, v := range r.VMs() {
+		all += v.Name + ":" + string(v.State) + " "
+	}
+	return all
+}
+
+// Guards against a late list or peer that brings a target back which has begun to leave or is gone.
+func TestOlderRevisionsChangeNothing(t *testing.T) {
+	r := roster.New()
+	r.Apply(roster.Delta{Revision: 5, Whole: true, Changes: []roster.Change{listed("a", 3, vm.Live), listed("b", 4, vm.Live)}}, 0)
+	r.Apply(roster.Delta{Revision: 7, Changes: []roster.Change{listed("a", 7, vm.Leaving)}}, 10)
+	r.Apply(roster.Delta{Revision: 5, Whole: true, Changes: []roster.Change{listed("a", 3, vm.Live)}}, 20)
+	assert.Equal(t, names(r), "a:leaving ")
+	assert.Equal(t, r.Revision(), int64(7))
+}
+
+// Guards against losing targets that live because their entries lapsed while the publisher was away, and against
+// keeping those that do not come back.
+func TestEntriesThatLapsedDuringAnAbsenceAreKeptForAWhile(t *testing.T) {
+	r := roster.New()
+	r.Apply(roster.Delta{Revision: 2, Whole: true, Changes: []roster.Change{
+		listed("a", 1, vm.Live), listed("b", 1, vm.Live), listed("c", 1, vm.Leaving)}}, 0)
+	r.PublisherLost()
+	r.PublisherReached(10_000)
+	r.Apply(roster.Delta{Revision: 9, Whole: true}, 10_000)
+	assert.Equal(t, names(r), "a:live b:live ", "a target that was leaving is not kept")
+	r.Apply(roster.Delta{Revision: 10, Changes: []roster.Change{listed("a", 10, vm.Live)}}, 11_000)
+	assert.Assert(t, r.Expire(10_000+roster.LapseGraceMs))
+	assert.Equal(t, names(r), "a:live ")
+}
+
+// Guards against a removed target that is still used in calm times.
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	r := roster.New()
+	r.Apply(roster.Delta{Revision: 2, Whole: true, Changes: []roster.Change{listed("a", 1, vm.Live), listed("b", 2, vm.Live)}}, 0)
+	news := r.Apply(roster.Delta{Revision: 3, Changes: []roster.Change{{Name: "b", Revision: 3}}}, clock.Millis(60_000))
+	assert.Equal(t, len(news), 1)
+	assert.Equal(t, names(r), "a:live ")
+}
+
+// Guards against a peer that learns of additions only, or that is sent the whole list for each change.
+func TestSinceBringsAPeerUpToDate(t *testing.T) {
+	from, to := roster.New(), roster.New()
+	from.Apply(roster.Delta{Revision: 2, Whole: true, Changes: []roster.Change{listed("a", 1, vm.Live), listed("b", 2, vm.Live)}}, 0)
+	to.Apply(from.Since(to.Revision()), 0)
+	assert.Equal(t, names(to), names(from))
+	from.Apply(roster.Delta{Revision: 4, Changes: []roster.Change{listed("c", 3, vm.Live), {Name: "a", Revision: 4}}}, 0)
+	d := from.Since(to.Revision())
+	assert.Equal(t, len(d.Changes), 2)
+	to.Apply(d, 0)
+	assert.Equal(t, names(to), names(from))
+	assert.Equal(t, len(from.Since(4).Changes), 0)
+}
+
+// Guards against a report that was written late, from before a drain or a restart of the target.
+func TestLateReportDoesNotBringATargetBack(t *testing.T) {
+	report := func(revision, started, sequence int64, state vm.State) roster.Delta {
+		v := vm.VM{Name: "a", State: state, StartedMs: started, Sequence: sequence}
+		return roster.Delta{Revision: revision, Changes: []roster.Change{{Name: "a", Revision: revision, VM: &v}}}
+	}
+	r := roster.New()
+	r.Apply(report(1, 1000, 8, vm.Leaving), 0)
+	r.Apply(report(2, 1000, 7, vm.Live), 0)
+	assert.Equal(t, names(r), "a:leaving ")
+	r.Apply(report(3, 2000, 1, vm.Live), 0)
+	assert.Equal(t, names(r), "a:live ", "a restarted target counts its reports anew")
+	r.Apply(report(4, 1000, 9, vm.Leaving), 0)
+	assert.Equal(t, names(r), "a:live ")
+}
+
+// Guards against a node that counts itself up to date after a message that followed a lost one.
+func TestDeltaWithAGapDoesNotAdvanceTheRevision(t *testing.T) {
+	r := roster.New()
+	r.Apply(roster.Delta{Revision: 5, Whole: true, Changes: []roster.Change{listed("a", 3, vm.Live)}}, 0)
+	r.Apply(roster.Delta{Base: 6, Revision: 7, Changes: []roster.Change{listed("b", 7, vm.Live)}}, 0)
+	assert.Equal(t, names(r), "a:live b:live ")
+	assert.Equal(t, r.Revision(), int64(5))
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -36,6 +36,22 @@
 	Accounts []string `json:"accounts,omitempty"`
 	// TimeoutMs bounds a call on this route; 0 means the preset's default deadline.
 	TimeoutMs clock.Millis `json:"timeoutMs,omitempty"`
+	// Host restricts the route to requests for this host; empty means all hosts.
+	Host string `json:"host,omitempty"`
+	// Split distributes the requests among services by weight; it takes the place of Service when it is not empty.
+	Split []Share `json:"split,omitempty"`
+	// MaxTargets is the largest number of targets to which one request may be sent; 0 means the preset's allowance.
+	MaxTargets int `json:"maxTargets,omitempty"`
+	// Priority is the rank of the route's requests, 0 being the highest.
+	Priority int `json:"priority,omitempty"`
+	// ObjectiveMs is the latency objective of the route; 0 means none.
+	ObjectiveMs clock.Millis `json:"objectiveMs,omitempty"`
+}
+
+// Share is one service of a split with its weight relative to the others.
+type Share struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
 }
 
 // Section is the published value "routes".
--- /dev/null
+++ b/core/split/doc.go
@@ -0,0 +1,2 @@
+// Package split distributes requests among services by weight.
+package split
--- a/core/vm/vm.go
+++ b/core/vm/vm.go
@@ -31,6 +31,14 @@
 	// PeerAddress is the IP address and port at which the VM's node serves other nodes.
 	PeerAddress string `json:"peerAddress"`
 	State       State  `json:"state"`
+	// TargetAddress is the IP address and port of the target, where the publisher knows it.
+	TargetAddress string `json:"targetAddress,omitempty"`
+	// Slots is the number of requests that the target runs at a time; 0 means the service's number.
+	Slots int `json:"slots,omitempty"`
+	// StartedMs is the start of the target in Unix milliseconds; 0 means unknown.
+	StartedMs int64 `json:"startedMs,omitempty"`
+	// Sequence counts the target's reports about itself since its start; 0 means unknown.
+	Sequence int64 `json:"sequence,omitempty"`
 }
 
 // Section is the published value "vms".
@@ -82,3 +90,11 @@
 	}
 	return nil
 }
+
+// ReportedBefore reports whether v stems from an earlier report of the target than other does.
+func (v VM) ReportedBefore(other VM) bool {
+	if v.StartedMs != other.StartedMs && v.StartedMs != 0 && other.StartedMs != 0 {
+		return v.StartedMs < other.StartedMs
+	}
+	return v.StartedMs == other.StartedMs && v.Sequence < other.Sequence
+}
