--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -47,6 +47,7 @@
 // Runner runs requests at the local target.
 type Runner struct {
 	Config
+	absent absentTargets
 }
 
 // New returns a runner with these dependencies.
@@ -69,6 +70,9 @@
 	if r.drains(c.Target) {
 		return refuse(call.ReasonLeaving), nil
 	}
+	if r.absent.contains(c.Target, received) {
+		return refuse(call.ReasonNoTarget), nil
+	}
 	deadline := received + c.TimeoutMs
 	waiting, cancel := context.WithTimeout(ctx, c.TimeoutMs.Duration())
 	defer cancel()
@@ -146,6 +150,7 @@
 	switch {
 	case said.OtherTarget:
 		response.Close()
+		r.absent.add(c.Target, r.Clock.Now())
 		return refuse(call.ReasonNoTarget), nil
 	case said.NotRun:
 		response.Close()
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -36,6 +36,7 @@
 	"coltsfootusher.example/core/gate"
 	"coltsfootusher.example/core/retry"
 	"coltsfootusher.example/core/split"
+	"coltsfootusher.example/core/vm"
 )
 
 // Error is the class of errors that end a node.
@@ -103,7 +104,7 @@
 	logging.CaptureStandard(n.logger)
 	metrics := expvar.NewMap(metric.Map)
 	n.recorder = decision.New(s.NodeName, n.logger, metrics, recentDecisions, s.LogLinesPerSecond)
-	n.peers = peers.New(s.Peer().Addr().String(), logging.Part(n.logger, "peers"))
+	n.peers = peers.New(s.Peer().Addr().String(), n.clock, logging.Part(n.logger, "peers"))
 	n.directory = directory.New(directory.Config{
 		Address: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: n.incarnation,
 		LeaseMs: s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Source: source, Peers: n.peers,
@@ -265,6 +266,27 @@
 	}
 }
 
+// ready reports whether callers are well served here: the policy is confirmed, and each service can be reached.
 func (n *Node) ready() bool {
-	return n.directory.View() != nil && n.directory.Fresh() && !n.leaving.Load()
+	v := n.directory.View()
+	return v != nil && n.directory.Fresh() && !n.leaving.Load() && !n.isolated(v)
+}
+
+// isolated reports whether this node reaches no target of some service that has live ones. Its callers, and its target's
+// calls, are better served by other nodes then.
+func (n *Node) isolated(v *directory.View) bool {
+	reached := make(map[string]bool)
+	for _, other := range v.VMs.VMs {
+		if other.State != vm.Live {
+			continue
+		}
+		reached[other.Service] = reached[other.Service] || other.PeerAddress == n.settings.PeerAddress ||
+			n.peers.Reachable(other.PeerAddress)
+	}
+	for _, ok := range reached {
+		if !ok {
+			return true
+		}
+	}
+	return false
 }
--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -6,12 +6,14 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"coltsfootusher.example/coltsfootd/upstream"
+	"coltsfootusher.example/core/clock"
 )
 
 const (
@@ -70,15 +72,23 @@
 // Table holds the peers by address.
 type Table struct {
 	source string
+	clock  clock.Clock
 	logger log.Logger
+	// changedAt is the last time at which a peer was lost or came back.
+	changedAt atomic.Int64
 
 	mu    sync.Mutex
 	peers map[string]*Peer
 }
 
 // New returns a table of a node that connects from the IP address source.
-func New(source string, logger log.Logger) *Table {
-	return &Table{source: source, logger: logger, peers: make(map[string]*Peer)}
+func New(source string, c clock.Clock, logger log.Logger) *Table {
+	return &Table{source: source, clock: c, logger: logger, peers: make(map[string]*Peer)}
+}
+
+// ChangedAt returns the last time at which a peer was lost or came back; 0 if none ever was.
+func (t *Table) ChangedAt() clock.Millis {
+	return clock.Millis(t.changedAt.Load())
 }
 
 // Get returns the peer at the address.
@@ -286,6 +296,9 @@
 	defer p.mu.Unlock()
 	p.aliveAt = time.Now()
 	changed := p.down
+	if p.down {
+		p.table.changedAt.Store(int64(p.table.clock.Now()))
+	}
 	p.down = false
 	switch {
 	case pong.Leaving:
@@ -306,6 +319,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.down {
+		p.table.changedAt.Store(int64(p.table.clock.Now()))
 		p.probeAt = time.Now().Add(probeInterval)
 		_ = level.Warn(p.table.logger).Log("msg", "peer can't be reached", "peer", p.pool.Address(), "calls", len(p.calls),
 			"err", cause)
--- a/coltsfootd/quotas/owner.go
+++ b/coltsfootd/quotas/owner.go
@@ -39,8 +39,7 @@
 
 // bucket is the share of an account's rate that this node owns.
 type bucket struct {
-	*quota.Bucket
-	rate quota.Rate
+	*quota.Owned
 	// emptyUntil are the times until which other domains are not asked to lend.
 	emptyUntil map[string]clock.Millis
 }
@@ -84,58 +83,62 @@
 	}
 	_ = level.Info(l.Logger).Log("msg", "owner of a bucket did not grant, using the own part", "account", a.ID,
 		"owner", owner, "notOwner", reply.NotOwner, "err", err)
-	return l.takeOwn(v, "alone/"+a.ID, a, l.FailureDomains*len(v.Neighbours), r)
+	return l.takeAlone(v, a, r)
 }
 
-// grant serves a draw as the owner of the domain's share.
+// takeAlone uses this node's own part of the domain's share.
+func (l *Limiter) takeAlone(v *directory.View, a account.Account, r drawRequest) drawReply {
+	return l.takeOwn(v, "alone/"+a.ID, a, l.part(v, 1), r)
+}
+
+// grant serves a draw as the owner of the domain's share. Each node of the domain holds an equal part of that share; the
+// owner has the parts of the nodes that it reaches, and one that is cut off keeps its own.
 func (l *Limiter) grant(v *directory.View, a account.Account, r drawRequest) drawReply {
-	if !l.seesDomain(v) {
-		return l.takeOwn(v, "alone/"+a.ID, a, l.FailureDomains*len(v.Neighbours), r)
+	reached := l.reached(v)
+	if 2*reached < len(v.Neighbours) {
+		return l.takeAlone(v, a, r)
 	}
-	reply := l.takeOwn(v, "domain/"+a.ID, a, l.FailureDomains, r)
+	reply := l.takeOwn(v, "domain/"+a.ID, a, l.part(v, reached), r)
 	if missing := r.Need - reply.Granted; missing > 0 && !r.Lend {
 		reply.Granted += l.borrow(v, a, missing)
 	}
 	return reply
 }
 
-// seesDomain reports whether this node reaches half of its failure domain. One that does not is probably cut off, and
-// another node owns the buckets for the rest.
-func (l *Limiter) seesDomain(v *directory.View) bool {
+// part returns the part of an account's rate that is held by a number of nodes of this failure domain.
+func (l *Limiter) part(v *directory.View, nodes int) float64 {
+	return float64(nodes) / float64(len(v.Neighbours)*l.FailureDomains)
+}
+
+// reached returns the number of nodes of the own failure domain that answer, this one included.
+func (l *Limiter) reached(v *directory.View) int {
 	reached := 0
 	for _, address := range v.Neighbours {
 		if address == l.Address || l.Peers.Reachable(address) {
 			reached++
 		}
 	}
-	return 2*reached >= len(v.Neighbours)
+	return reached
 }
 
-// takeOwn takes tokens from the bucket under the name, which holds one of parts shares of the account's rate.
-func (l *Limiter) takeOwn(v *directory.View, name string, a account.Account, parts int, r drawRequest) drawReply {
+// takeOwn takes tokens from the bucket under the name, which holds a part of the account's rate.
+func (l *Limiter) takeOwn(v *directory.View, name string, a account.Account, part float64, r drawRequest) drawReply {
 	current, ok := v.Account(a.ID)
 	if !ok {
 		current = a
 	}
-	rate := quota.Rate{PerSecond: current.RatePerSecond, Burst: current.Burst}.Share(parts)
+	rate := quota.Rate{PerSecond: current.RatePerSecond, Burst: current.Burst}.Part(part)
 	now := l.Clock.Now()
+	movedAt := max(l.started, l.Peers.ChangedAt())
 	l.owned.mu.Lock()
 	defer l.owned.mu.Unlock()
 	b := l.owned.buckets[name]
 	if b == nil {
-		b = &bucket{Bucket: quota.NewBucket(rate, rate.PerSecond*freshShareMs/1000, now), rate: rate,
-			emptyUntil: make(map[string]clock.Millis)}
+		b = &bucket{Owned: quota.NewOwned(rate, movedAt, now), emptyUntil: make(map[string]clock.Millis)}
 		l.owned.buckets[name] = b
 	}
-	if b.rate != rate {
-		b.rate = rate
-		b.Resize(rate, now)
-	}
-	granted := b.Take(r.Need, now)
-	if granted == r.Need && r.Spare > 0 {
-		granted += b.TakeSpare(r.Spare, now)
-	}
-	return drawReply{Granted: granted, RetryAfterMs: b.WaitMs(now)}
+	granted, wait := b.Draw(r.Need, r.Spare, rate, movedAt, now)
+	return drawReply{Granted: granted, RetryAfterMs: wait}
 }
 
 // borrow asks the owners of the other failure domains, and returns the number of tokens that they lend.
--- a/coltsfootd/quotas/quotas.go
+++ b/coltsfootd/quotas/quotas.go
@@ -20,8 +20,6 @@
 	borrowTimeout = 60 * time.Millisecond
 	// borrowPauseMs is the time for which a domain that had nothing to lend is not asked again.
 	borrowPauseMs clock.Millis = 100
-	// freshShareMs is the time of its rate that a bucket holds when its owner has just taken over.
-	freshShareMs = 500
 	// minRetryMs and maxRetryMs bound the advice when to return.
 	minRetryMs clock.Millis = 50
 	maxRetryMs clock.Millis = 2000
@@ -52,6 +50,7 @@
 // account, chosen by rendezvous hashing. Owners of different domains lend to each other.
 type Limiter struct {
 	Config
+	started clock.Millis
 
 	mu     sync.Mutex
 	stocks map[string]*stock
@@ -73,7 +72,7 @@
 
 // New returns a limiter without tokens.
 func New(c Config) *Limiter {
-	return &Limiter{Config: c, stocks: make(map[string]*stock), owned: ownedBuckets{buckets: make(map[string]*bucket)}}
+	return &Limiter{Config: c, started: c.Clock.Now(), stocks: make(map[string]*stock), owned: ownedBuckets{buckets: make(map[string]*bucket)}}
 }
 
 // Run forgets accounts without demand until ctx ends.
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -14,10 +14,9 @@
 	Burst     float64
 }
 
-// Share returns the part of the rate that one of parts equal shares gets.
-func (r Rate) Share(parts int) Rate {
-	n := float64(max(1, parts))
-	return Rate{PerSecond: r.PerSecond / n, Burst: r.Burst / n}
+// Part returns a part of the rate, between 0 and 1.
+func (r Rate) Part(part float64) Rate {
+	return Rate{PerSecond: r.PerSecond * part, Burst: r.Burst * part}
 }
 
 // Bucket is a token bucket.
@@ -39,6 +38,12 @@
 	b.tokens = min(b.tokens, rate.Burst)
 }
 
+// Limit removes the tokens above a number.
+func (b *Bucket) Limit(tokens float64, now clock.Millis) {
+	b.advance(now)
+	b.tokens = min(b.tokens, tokens)
+}
+
 // Take removes and returns up to want whole tokens. A bucket whose burst is below one token grants one when it is full,
 // because small shares of a small burst would otherwise never grant anything.
 func (b *Bucket) Take(want int, now clock.Millis) int {
--- /dev/null
+++ b/core/quota/owned.go
@@ -0,0 +1,45 @@
+package quota
+
+import "coltsfootusher.example/core/clock"
+
+// activeMs is the time since its last use for which a bucket counts as the one that grants.
+const activeMs clock.Millis = 1000
+
+// Owned is a bucket that one of several nodes owns, as far as they can reach each other.
+//
+// Each of these nodes has such a bucket, and all but one are idle. An idle bucket must not fill up, because the account
+// would get its burst again each time the ownership moves: what it holds counts from the last move.
+type Owned struct {
+	bucket   *Bucket
+	rate     Rate
+	lastUsed clock.Millis
+}
+
+// NewOwned returns a bucket that has been owned since the time.
+func NewOwned(rate Rate, since, now clock.Millis) *Owned {
+	o := &Owned{bucket: NewBucket(rate, rate.earned(since, now), now), rate: rate, lastUsed: now}
+	return o
+}
+
+// Draw takes need tokens, and up to spare more if there are plenty. movedAt is the last time at which the ownership may
+// have moved. It returns the tokens and the time until the next one is there.
+func (o *Owned) Draw(need, spare int, rate Rate, movedAt, now clock.Millis) (granted int, waitMs clock.Millis) {
+	if o.rate != rate {
+		o.rate = rate
+		o.bucket.Resize(rate, now)
+	}
+	if movedAt > o.lastUsed+activeMs {
+		o.bucket.Limit(rate.earned(movedAt, now), now)
+	}
+	o.lastUsed = now
+	granted = o.bucket.Take(need, now)
+	if granted == need && spare > 0 {
+		granted += o.bucket.TakeSpare(spare, now)
+	}
+	return granted, o.bucket.WaitMs(now)
+}
+
+// earned returns the tokens that the rate yields between two times.
+func (r Rate) earned(since, now clock.Millis) float64 {
+	return r.PerSecond * float64(max(0, now-since)) / millisPerSecond
+}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -63,3 +63,31 @@
 	assert.Assert(t, got >= 15 && got <= 25, got)
 	assert.Equal(t, s.Prefetch(20_000), 0)
 }
+
+// Guards against an account that gets its burst again from each node to which the ownership of its bucket moves.
+func TestMovedOwnershipGrantsNoSecondBurst(t *testing.T) {
+	rate := quota.Rate{PerSecond: 100, Burst: 100}
+	nodes := []*quota.Owned{quota.NewOwned(rate, 0, 10_000), quota.NewOwned(rate, 0, 10_000)}
+	granted := 0
+	owner, movedAt := 0, clock.Millis(0)
+	for now := clock.Millis(10_000); now < 15_000; now += 10 {
+		if now%2000 == 0 {
+			owner, movedAt = 1-owner, now
+		}
+		n, _ := nodes[owner].Draw(10, 0, rate, movedAt, now)
+		granted += n
+	}
+	assert.Assert(t, granted <= 100*5+100+1, granted)
+	assert.Assert(t, granted >= 450, granted)
+}
+
+// Guards against an owner that forgets the burst because some other node came or went.
+func TestActiveOwnerKeepsItsTokens(t *testing.T) {
+	rate := quota.Rate{PerSecond: 100, Burst: 100}
+	o := quota.NewOwned(rate, 0, 10_000)
+	for now := clock.Millis(10_000); now < 12_000; now += 100 {
+		o.Draw(1, 0, rate, 0, now)
+	}
+	n, _ := o.Draw(80, 0, rate, 11_950, 12_000)
+	assert.Equal(t, n, 80)
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -175,12 +175,30 @@
 	return d
 }
 
-// VMs returns the entries in force, sorted by name.
+// VMs returns the entries in force, sorted by name. Of several entries with one address only that of the target which
+// started last counts: the entry of a target that crashed stays listed for a while.
 func (r *Roster) VMs() []vm.VM {
-	vms := make([]vm.VM, 0, len(r.entries))
+	newest := make(map[string]*entry, len(r.entries))
+	var vms []vm.VM
 	for _, e := range r.entries {
+		if e.vm.TargetAddress == "" {
+			vms = append(vms, e.vm)
+			continue
+		}
+		if other := newest[e.vm.TargetAddress]; other == nil || e.startedAfter(other) {
+			newest[e.vm.TargetAddress] = e
+		}
+	}
+	for _, e := range newest {
 		vms = append(vms, e.vm)
 	}
 	slices.SortFunc(vms, func(a, b vm.VM) int { return cmp.Compare(a.Name, b.Name) })
 	return vms
 }
+
+func (e *entry) startedAfter(other *entry) bool {
+	if e.vm.StartedMs != 0 && other.vm.StartedMs != 0 && e.vm.StartedMs != other.vm.StartedMs {
+		return e.vm.StartedMs > other.vm.StartedMs
+	}
+	return e.revision > other.revision
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -94,3 +94,16 @@
 	assert.Equal(t, names(r), "a:live b:live ")
 	assert.Equal(t, r.Revision(), int64(5))
 }
+
+// Guards against requests for a target that crashed, whose entry stays listed beside that of its successor.
+func TestOneTargetPerAddress(t *testing.T) {
+	at := func(name string, revision, started int64) roster.Change {
+		return roster.Change{Name: name, Revision: revision, VM: &vm.VM{
+			Name: name, State: vm.Live, TargetAddress: "10.0.0.1:80", StartedMs: started}}
+	}
+	r := roster.New()
+	r.Apply(roster.Delta{Revision: 9, Whole: true, Changes: []roster.Change{at("new", 5, 2000), at("old", 9, 1000)}}, 0)
+	assert.Equal(t, names(r), "new:live ")
+	r.Apply(roster.Delta{Base: 9, Revision: 10, Changes: []roster.Change{{Name: "new", Revision: 10}}}, 0)
+	assert.Equal(t, names(r), "old:live ")
+}
