Let a node vouch for its target when only the list has lost it

Change: an entry that vanishes without a sign of leaving is used for half a second more; the node beside it asks the target's health and vouches for it to the others. Not after an absence of the store: there an entry that is still missing counts as gone. A node that is not listed owns no bucket.

--- a/coltsfootd/directory/address.go
+++ b/coltsfootd/directory/address.go
@@ -9,14 +9,11 @@
 	"coltsfootusher.example/core/vm"
 )
 
-// addresses returns the peer addresses of the own failure domain and of the others. All nodes sort them alike, by hash,
+// addresses returns the peer addresses listed in the own failure domain and in the others. All nodes sort them alike, by hash,
 // so that neighbours in the address range don't share a rank in each domain.
-func addresses(vms []vm.VM, own, domain string) (neighbours []string, others map[string][]string) {
-	byDomain := map[string]map[string]bool{domain: {own: true}}
+func addresses(vms []vm.VM, domain string) (neighbours []string, others map[string][]string) {
+	byDomain := map[string]map[string]bool{domain: {}}
 	for _, v := range vms {
-		if v.PeerAddress == own {
-			continue
-		}
 		if byDomain[v.FailureDomain] == nil {
 			byDomain[v.FailureDomain] = make(map[string]bool)
 		}
--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -57,12 +58,22 @@
 	Address       string
 	FailureDomain string
 	Incarnation   uint64
+	// TargetAddress is the address of the target beside this node.
+	TargetAddress string
 	// LeaseMs is the age of the confirmation up to which keys are accepted.
 	LeaseMs clock.Millis
 	Clock   clock.Clock
 	Source  Source
 	Peers   *peers.Table
-	Logger  log.Logger
+	// Target tells whether the local target serves.
+	Target Target
+	Logger log.Logger
+}
+
+// Target is asked whether it serves while its entry is missing from the list.
+type Target interface {
+	// Serves reports whether the target with the id serves and is not leaving.
+	Serves(ctx context.Context, id string) bool
 }
 
 // View is what traffic sees of the published values.
@@ -71,8 +82,8 @@
 	PolicyVersion int64
 	KeysRequired  bool
 	Bounds        published.CallerBounds
-	// Neighbours are the peer addresses of the own failure domain and Others those of each other domain, this node's
-	// own address included.
+	// Neighbours are the peer addresses listed in the own failure domain, with this node's own if it is listed, and Others
+	// those of each other domain.
 	Neighbours []string
 	Others     map[string][]string
 }
@@ -101,6 +112,8 @@
 	relisting           bool
 	platformLost        bool
 	stopWatch           context.CancelFunc
+	vouching            bool
+	vouchAt             clock.Millis
 }
 
 // New returns a directory that knows nothing yet.
@@ -175,24 +188,24 @@
 	if !d.relisting && now >= d.relistAt && (acting || !d.listed) {
 		d.startRelist(ctx, now)
 	}
+	d.vouch(ctx, now)
 	d.watch(ctx, acting && d.policy != nil && d.listed)
 	if !d.asking && now >= d.askAfter && schedule.AskDue(rank, age) {
 		d.startAsk(ctx, now)
 	}
 }
 
-// rank returns the place of this node among those of its failure domain, -1 if none is known.
+// rank returns the place of this node among those of its failure domain: the first while none is known, the last for a
+// node that is not listed.
 func (d *Directory) rank() int {
 	v := d.view.Load()
 	if v == nil {
-		return -1
+		return 0
 	}
-	for i, address := range v.Neighbours {
-		if address == d.Address {
-			return i
-		}
+	if i := slices.Index(v.Neighbours, d.Address); i >= 0 {
+		return i
 	}
-	return -1
+	return len(v.Neighbours)
 }
 
 func (d *Directory) startRead(ctx context.Context, now clock.Millis) {
@@ -325,7 +338,7 @@
 		Snapshot:      fleet.Assemble(d.policy.Version, d.policy.Routes, d.policy.Accounts, d.policy.Services, vms),
 		PolicyVersion: d.policy.Version, KeysRequired: d.policy.KeysRequired, Bounds: d.policy.Bounds,
 	}
-	v.Neighbours, v.Others = addresses(vms, d.Address, d.FailureDomain)
+	v.Neighbours, v.Others = addresses(vms, d.FailureDomain)
 	listed := make(map[string]bool)
 	for _, other := range vms {
 		listed[other.PeerAddress] = true
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -31,6 +31,8 @@
 	AgeMs  clock.Millis      `json:"ageMs"`
 	Policy *published.Policy `json:"policy,omitempty"`
 	Roster *roster.Delta     `json:"roster,omitempty"`
+	// Vouched is the id of the sender's target, which serves although its entry has vanished from the list.
+	Vouched string `json:"vouched,omitempty"`
 }
 
 // LeaveMessage says that a node takes no new work.
@@ -133,6 +135,9 @@
 	if m.Roster != nil {
 		d.applyTargets(*m.Roster, nil, source, now)
 	}
+	if m.Vouched != "" {
+		d.acceptVouch(m.Vouched, source, now)
+	}
 }
 
 // push sends news to the other nodes of the own failure domain and to the first nodes of the others.
@@ -212,7 +217,7 @@
 // replyTo returns what the sender of m lacks. A pushed message asks for nothing.
 func (d *Directory) replyTo(m syncMessage, now clock.Millis) syncMessage {
 	own := d.self(now)
-	if m.Policy != nil || m.Roster != nil {
+	if m.Policy != nil || m.Roster != nil || m.Vouched != "" {
 		return own
 	}
 	if d.policy != nil && m.PolicyVersion < d.policy.Version {
--- /dev/null
+++ b/coltsfootd/localtarget/health.go
@@ -0,0 +1,52 @@
+package localtarget
+
+import (
+	"context"
+	"net/http"
+
+	"coltsfootusher.example/coltsfootd/upstream"
+)
+
+// HealthDialect reads the answer of a target to the question whether it serves.
+type HealthDialect interface {
+	// ReadHealth returns the id of the target that serves and is not leaving, or "".
+	ReadHealth(status int, h http.Header) string
+}
+
+// Health asks the local target whether it serves.
+type Health struct {
+	service string
+	dialect HealthDialect
+	pool    *upstream.Pool
+	views   Views
+}
+
+// NewHealth returns a prober of the target of the service behind the pool.
+func NewHealth(service string, dialect HealthDialect, pool *upstream.Pool) *Health {
+	return &Health{service: service, dialect: dialect, pool: pool}
+}
+
+// SetViews sets where the path of the question is published.
+func (h *Health) SetViews(views Views) {
+	h.views = views
+}
+
+// Serves reports whether the target with the id serves and is not leaving.
+func (h *Health) Serves(ctx context.Context, id string) bool {
+	v := h.views.View()
+	if v == nil {
+		return false
+	}
+	published, known := v.Service(h.service)
+	if !known || published.HealthPath == "" {
+		return false
+	}
+	response, err := h.pool.Do(ctx, &upstream.Request{
+		Method: http.MethodGet, URI: published.HealthPath, Host: h.pool.Address(), Header: http.Header{},
+	})
+	if err != nil {
+		return false
+	}
+	response.Close()
+	return h.dialect.ReadHealth(response.Status, response.Header) == id
+}
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -64,6 +64,7 @@
 type Dialect interface {
 	forward.Dialect
 	localtarget.Dialect
+	localtarget.HealthDialect
 }
 
 // Node is one process.
@@ -105,11 +106,17 @@
 	metrics := expvar.NewMap(metric.Map)
 	n.recorder = decision.New(s.NodeName, n.logger, metrics, recentDecisions, s.LogLinesPerSecond)
 	n.peers = peers.New(s.Peer().Addr().String(), n.clock, logging.Part(n.logger, "peers"))
+	n.target = upstream.New(s.TargetAddress, upstream.Settings{
+		DialTimeout: targetDialTimeout, SilenceLimit: targetSilenceLimit, IdleLimit: targetIdleLimit,
+		MaxIdle: targetMaxIdle, EchoHeader: dialect.EchoHeader(), BufferBytes: targetBufferBytes,
+	})
+	health := localtarget.NewHealth(s.Service, dialect, n.target)
 	n.directory = directory.New(directory.Config{
-		Address: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: n.incarnation,
+		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: health, FailureDomain: s.FailureDomain, Incarnation: n.incarnation,
 		LeaseMs: s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Source: source, Peers: n.peers,
 		Logger: logging.Part(n.logger, "directory"),
 	})
+	health.SetViews(n.directory)
 	n.limiter = quotas.New(quotas.Config{
 		Address: s.PeerAddress, FailureDomains: max(1, len(s.FailureDomains)), Clock: n.clock, Views: n.directory,
 		Peers: n.peers, Logger: logging.Part(n.logger, "quota"),
@@ -125,10 +132,6 @@
 func (n *Node) buildTraffic(dialect Dialect) {
 	s := n.settings
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
-	n.target = upstream.New(s.TargetAddress, upstream.Settings{
-		DialTimeout: targetDialTimeout, SilenceLimit: targetSilenceLimit, IdleLimit: targetIdleLimit,
-		MaxIdle: targetMaxIdle, EchoHeader: dialect.EchoHeader(), BufferBytes: targetBufferBytes,
-	})
 	n.runner = localtarget.New(localtarget.Config{
 		Node: s.NodeName, Address: s.TargetAddress, Clock: n.clock, Dialect: dialect, Views: n.directory,
 		Admission: n.admission, Pool: n.target, Recorder: n.recorder,
--- a/coltsfootd/quotas/owner.go
+++ b/coltsfootd/quotas/owner.go
@@ -73,7 +73,10 @@
 func (l *Limiter) ask(a account.Account, r drawRequest) drawReply {
 	v := l.Views.View()
 	owner := l.owner(a.ID, v.Neighbours)
-	if owner == l.Address {
+	switch owner {
+	case "":
+		return l.takeAlone(v, a, r)
+	case l.Address:
 		return l.grant(v, a, r)
 	}
 	var reply drawReply
@@ -107,7 +110,7 @@
 
 // part returns the part of an account's rate that is held by a number of nodes of this failure domain.
 func (l *Limiter) part(v *directory.View, nodes int) float64 {
-	return float64(nodes) / float64(len(v.Neighbours)*l.FailureDomains)
+	return float64(nodes) / float64(max(1, len(v.Neighbours))*l.FailureDomains)
 }
 
 // reached returns the number of nodes of the own failure domain that answer, this one included.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -14,6 +14,11 @@
 	// LapseGraceMs is the time after the publisher's return for which an entry that lapsed during its absence is still
 	// used. Targets that live write their entries again within this time.
 	LapseGraceMs clock.Millis = 1800
+	// UnlistedGraceMs is the time for which a target whose entry vanished without a sign of leaving is still used. In this
+	// time the node beside it can vouch for it.
+	UnlistedGraceMs clock.Millis = 500
+	// VouchMs is the time for which a node's word for its target counts.
+	VouchMs clock.Millis = 1500
 )
 
 // Change is one entry of the published list at a revision.
@@ -37,9 +42,10 @@
 type entry struct {
 	vm       vm.VM
 	revision int64
-	// lapsesAt is the time at which an entry that was removed during an absence of the publisher counts as gone;
-	// 0 for an entry that is listed.
+	// lapsesAt is the time at which an entry that was removed counts as gone; 0 for an entry that is listed.
 	lapsesAt clock.Millis
+	// vouchable is true if the entry was removed while the publisher was there: the target may be cut off from it.
+	vouchable bool
 }
 
 // Roster is the list as one node knows it. It is not safe for concurrent use.
@@ -119,15 +125,43 @@
 	if known == nil {
 		return false
 	}
-	if known.vm.State == vm.Live && now < r.regainedAt+LapseGraceMs {
-		news := known.lapsesAt == 0
+	if known.vm.State != vm.Live {
+		delete(r.entries, c.Name)
+		return true
+	}
+	known.revision = c.Revision
+	if known.lapsesAt != 0 {
+		return false
+	}
+	if now < r.regainedAt+LapseGraceMs {
 		known.lapsesAt = r.regainedAt + LapseGraceMs
-		return news
+		return true
 	}
-	delete(r.entries, c.Name)
+	known.lapsesAt, known.vouchable = now+UnlistedGraceMs, true
 	return true
 }
 
+// Vouch records that the node beside an unlisted target has found it serving and not leaving. It reports whether the
+// entry is kept for it.
+func (r *Roster) Vouch(name string, now clock.Millis) bool {
+	e := r.entries[name]
+	if e == nil || !e.vouchable || e.lapsesAt == 0 {
+		return false
+	}
+	e.lapsesAt = max(e.lapsesAt, now+VouchMs)
+	return true
+}
+
+// Unlisted returns the entry of the target at the address if it is in use without being listed.
+func (r *Roster) Unlisted(targetAddress string) (vm.VM, bool) {
+	for _, e := range r.entries {
+		if e.vm.TargetAddress == targetAddress && e.vouchable && e.lapsesAt != 0 {
+			return e.vm, true
+		}
+	}
+	return vm.VM{}, false
+}
+
 func (r *Roster) remember(c Change) {
 	r.removals = append(r.removals, c)
 	if excess := len(r.removals) - maxRemovals; excess > 0 {
@@ -136,8 +170,7 @@
 	}
 }
 
-// Expire drops the entries that lapsed while the publisher was absent and did not come back. It reports whether there
-// were any.
+// Expire drops the unlisted entries whose time has passed. It reports whether there were any.
 func (r *Roster) Expire(now clock.Millis) bool {
 	expired := false
 	for name, e := range r.entries {
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -24,6 +24,8 @@
 	ColdStartMs clock.Millis `json:"coldStartMs,omitempty"`
 	// FailureDomains are the domains that have targets of the service; empty means all.
 	FailureDomains []string `json:"failureDomains,omitempty"`
+	// HealthPath is the path at which targets say whether they serve; empty if they don't.
+	HealthPath string `json:"healthPath,omitempty"`
 }
 
 // Section is the published value "services".
