Use leaving nodes as second choice, let calls wait for a target, refuse operations last under a quota

Change: leaving nodes are chosen when no other is left; a request waits for a target for an eighth of its objective, a call of a target for half of its time; a fifth of the burst is left to operations; the token of a request that did not run is given back.

--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -51,7 +51,9 @@
 
 // Limiter takes one token of the client account's fleet-wide rate.
 type Limiter interface {
-	Admit(ctx context.Context, a account.Account) (ok bool, retryAfterMs clock.Millis)
+	Admit(ctx context.Context, a account.Account, urgent bool) (ok bool, retryAfterMs clock.Millis)
+	// Return gives back the token of a request that did not run.
+	Return(a account.Account, urgent bool)
 }
 
 // Throttle refuses lookups early while their like fail because of overload.
@@ -280,8 +282,10 @@
 	if throttled && !h.Throttle.Admit(key, h.Clock.Now()) {
 		return refused(call.ReasonOverloaded, h.Sender.RetryAfter(0))
 	}
-	if a.account.ID != "" && !a.route.Open {
-		if ok, retryAfter := h.Limiter.Admit(ctx, a.account); !ok {
+	limited := a.account.ID != "" && !a.route.Open
+	urgent := a.route.Class == route.OnceOnly
+	if limited {
+		if ok, retryAfter := h.Limiter.Admit(ctx, a.account, urgent); !ok {
 			if ctx.Err() != nil {
 				return refused(call.ReasonCallerGone, 0)
 			}
@@ -293,6 +297,9 @@
 		h.Throttle.Done(key, !overloaded(result), h.Clock.Now())
 	}
 	o := outcome{Result: result}
+	if limited && result.Reply.Run == call.NotRun {
+		h.Limiter.Return(a.account, urgent)
+	}
 	if result.Reply.Run == call.NotRun {
 		o.retryAfter = h.Sender.RetryAfter(result.Reply.RetryAfterMs)
 	}
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/directory"
 	"coltsfootusher.example/coltsfootd/passage"
 	"coltsfootusher.example/coltsfootd/peers"
 	"coltsfootusher.example/coltsfootd/upstream"
@@ -27,6 +28,11 @@
 	maxRefusals = 3
 	// defaultRetryMs is the advice when no gate said when room is expected.
 	defaultRetryMs clock.Millis = 300
+	// awaitInterval is how often a request that waits for a target looks for one.
+	awaitInterval = 20 * time.Millisecond
+	// patienceDivisor and innerPatienceDivisor give the wait for a target as a part of the objective and of the time left.
+	patienceDivisor      = 8
+	innerPatienceDivisor = 2
 )
 
 // Job is a request to send.
@@ -97,8 +103,13 @@
 	// sent counts the targets that may have begun the request, refusals the gates that did not let it through.
 	sent, refusals := 0, 0
 	mayHaveRun := false
+	waitUntil := s.Clock.Now() + patience(j, s.Clock.Now())
 	for {
 		v, choice, ok := s.choose(j.Service, exclude)
+		if !ok && !mayHaveRun && s.await(ctx, j, waitUntil) {
+			clear(exclude)
+			continue
+		}
 		if !ok {
 			return s.settled(last, mayHaveRun)
 		}
@@ -138,13 +149,23 @@
 	return r
 }
 
-// choose lets the balancer choose among the targets of the service that get new work.
+// choose lets the balancer choose among the targets of the service. The nodes of some may be about to leave; they still
+// serve what would otherwise be refused.
 func (s *Sender) choose(service string, exclude map[string]bool) (vm.VM, balance.Choice, bool) {
 	view := s.Values.View()
+	if v, choice, ok := s.chooseAmong(view, service, exclude, s.Peers.Usable); ok {
+		return v, choice, true
+	}
+	return s.chooseAmong(view, service, exclude, s.Peers.Reachable)
+}
+
+func (s *Sender) chooseAmong(
+	view *directory.View, service string, exclude map[string]bool, may func(address string) bool,
+) (vm.VM, balance.Choice, bool) {
 	vms := view.VMsOfService(service)
 	candidates := make([]balance.Candidate, 0, len(vms))
 	for _, v := range vms {
-		if v.State != vm.Live || exclude[v.Name] || v.PeerAddress != s.Address && !s.Peers.Usable(v.PeerAddress) {
+		if v.State != vm.Live || exclude[v.Name] || v.PeerAddress != s.Address && !may(v.PeerAddress) {
 			continue
 		}
 		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
@@ -161,6 +182,29 @@
 	return v, choice, ok
 }
 
+// await waits until some target of the service can be reached, for as long as that helps the caller more than a refusal.
+func (s *Sender) await(ctx context.Context, j Job, until clock.Millis) bool {
+	now := s.Clock.Now()
+	if now >= until || len(s.Values.View().VMsOfService(j.Service)) == 0 {
+		return false
+	}
+	select {
+	case <-time.After(awaitInterval):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// patience returns how long a request waits for a target. A call of a target waits longer, since the work of the request
+// that makes it would be lost.
+func patience(j Job, now clock.Millis) clock.Millis {
+	if j.Inner {
+		return (j.Deadline - now) / innerPatienceDivisor
+	}
+	return j.ObjectiveMs / patienceDivisor
+}
+
 // attempt sends the job to one target.
 func (s *Sender) attempt(ctx context.Context, v vm.VM, j Job, choice balance.Choice) (dispatch.Reply, *upstream.Response) {
 	now := s.Clock.Now()
--- a/coltsfootd/quotas/owner.go
+++ b/coltsfootd/quotas/owner.go
@@ -25,6 +25,8 @@
 	// Need is the number of requests that wait; Spare is what is worth having in advance.
 	Need  int `json:"need"`
 	Spare int `json:"spare,omitempty"`
+	// Urgent is true for operations, which are refused last.
+	Urgent bool `json:"urgent,omitempty"`
 	// Lend is true for a question between domains, which is answered from the own bucket only.
 	Lend bool `json:"lend,omitempty"`
 }
@@ -103,7 +105,7 @@
 	}
 	reply := l.takeOwn(v, "domain/"+a.ID, a, l.part(v, reached), r)
 	if missing := r.Need - reply.Granted; missing > 0 && !r.Lend {
-		reply.Granted += l.borrow(v, a, missing)
+		reply.Granted += l.borrow(v, a, missing, r.Urgent)
 	}
 	return reply
 }
@@ -140,12 +142,12 @@
 		b = &bucket{Owned: quota.NewOwned(rate, movedAt, now), emptyUntil: make(map[string]clock.Millis)}
 		l.owned.buckets[name] = b
 	}
-	granted, wait := b.Draw(r.Need, r.Spare, rate, movedAt, now)
+	granted, wait := b.Take(quota.Draw{Need: r.Need, Spare: r.Spare, Urgent: r.Urgent}, rate, movedAt, now)
 	return drawReply{Granted: granted, RetryAfterMs: wait}
 }
 
 // borrow asks the owners of the other failure domains, and returns the number of tokens that they lend.
-func (l *Limiter) borrow(v *directory.View, a account.Account, missing int) int {
+func (l *Limiter) borrow(v *directory.View, a account.Account, missing int, urgent bool) int {
 	granted := 0
 	for domain, addresses := range v.Others {
 		if missing == granted {
@@ -159,7 +161,7 @@
 			continue
 		}
 		var reply drawReply
-		ask := drawRequest{Account: a.ID, Need: missing - granted, Lend: true}
+		ask := drawRequest{Account: a.ID, Need: missing - granted, Urgent: urgent, Lend: true}
 		if err := l.Peers.Call(context.Background(), owner, DrawPath, borrowTimeout, ask, &reply); err != nil {
 			_ = level.Debug(l.Logger).Log("msg", "other domain did not lend", "domain", domain, "account", a.ID, "err", err)
 		}
--- a/coltsfootd/quotas/quotas.go
+++ b/coltsfootd/quotas/quotas.go
@@ -53,11 +53,17 @@
 	started clock.Millis
 
 	mu     sync.Mutex
-	stocks map[string]*stock
+	stocks map[stockKey]*stock
 
 	owned ownedBuckets
 }
 
+// stockKey names the tokens for the lookups or the operations of an account.
+type stockKey struct {
+	account string
+	urgent  bool
+}
+
 // stock is the tokens of one account with the requests that wait for more.
 type stock struct {
 	quota.Stock
@@ -72,7 +78,7 @@
 
 // New returns a limiter without tokens.
 func New(c Config) *Limiter {
-	return &Limiter{Config: c, started: c.Clock.Now(), stocks: make(map[string]*stock), owned: ownedBuckets{buckets: make(map[string]*bucket)}}
+	return &Limiter{Config: c, started: c.Clock.Now(), stocks: make(map[stockKey]*stock), owned: ownedBuckets{buckets: make(map[string]*bucket)}}
 }
 
 // Run forgets accounts without demand until ctx ends.
@@ -100,16 +106,18 @@
 	}
 }
 
-// Admit takes one token of the account. If there is none, retryAfterMs says when one is expected.
-func (l *Limiter) Admit(ctx context.Context, a account.Account) (ok bool, retryAfterMs clock.Millis) {
+// Admit takes one token of the account; urgent is true for operations. If there is none, retryAfterMs says when one is
+// expected.
+func (l *Limiter) Admit(ctx context.Context, a account.Account, urgent bool) (ok bool, retryAfterMs clock.Millis) {
 	if a.RatePerSecond <= 0 {
 		return true, 0
 	}
 	l.mu.Lock()
-	s := l.stocks[a.ID]
+	key := stockKey{account: a.ID, urgent: urgent}
+	s := l.stocks[key]
 	if s == nil {
 		s = &stock{}
-		l.stocks[a.ID] = s
+		l.stocks[key] = s
 	}
 	if s.Spend(l.Clock.Now()) {
 		l.mu.Unlock()
@@ -119,7 +127,7 @@
 	s.waiting = append(s.waiting, decided)
 	if !s.drawing {
 		s.drawing = true
-		go l.draw(a, s)
+		go l.draw(a, urgent, s)
 	}
 	l.mu.Unlock()
 	select {
@@ -130,8 +138,20 @@
 	}
 }
 
+// Return gives back the token of a request that did not run.
+func (l *Limiter) Return(a account.Account, urgent bool) {
+	if a.RatePerSecond <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.stocks[stockKey{account: a.ID, urgent: urgent}]; s != nil {
+		s.Return(l.Clock.Now())
+	}
+}
+
 // draw fetches tokens until no request waits.
-func (l *Limiter) draw(a account.Account, s *stock) {
+func (l *Limiter) draw(a account.Account, urgent bool, s *stock) {
 	for {
 		l.mu.Lock()
 		if len(s.waiting) == 0 {
@@ -139,7 +159,7 @@
 			l.mu.Unlock()
 			return
 		}
-		ask := drawRequest{Account: a.ID, Need: len(s.waiting), Spare: s.Prefetch(l.Clock.Now())}
+		ask := drawRequest{Account: a.ID, Need: len(s.waiting), Spare: s.Prefetch(l.Clock.Now()), Urgent: urgent}
 		l.mu.Unlock()
 		reply := l.ask(a, ask)
 		l.settle(s, ask.Need, reply)
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -59,6 +59,15 @@
 	return taken
 }
 
+// TakeAbove removes up to want whole tokens but leaves a reserve.
+func (b *Bucket) TakeAbove(want int, reserve float64, now clock.Millis) int {
+	b.advance(now)
+	if b.tokens-reserve < 1 && b.rate.Burst >= 1 {
+		return 0
+	}
+	return b.Take(min(want, max(1, int(b.tokens-reserve))), now)
+}
+
 // TakeSpare removes up to want tokens but leaves at least half of the burst.
 func (b *Bucket) TakeSpare(want int, now clock.Millis) int {
 	b.advance(now)
--- a/core/quota/owned.go
+++ b/core/quota/owned.go
@@ -2,6 +2,17 @@
 
 import "coltsfootusher.example/core/clock"
 
+// reservePart is the part of the burst that lookups leave to operations, which are refused last.
+const reservePart = 0.2
+
+// Draw asks for tokens.
+type Draw struct {
+	// Need is the number of requests that wait; Spare is what is worth having in advance.
+	Need, Spare int
+	// Urgent is true for operations, which may also use the reserve.
+	Urgent bool
+}
+
 // activeMs is the time since its last use for which a bucket counts as the one that grants.
 const activeMs clock.Millis = 1000
 
@@ -21,9 +32,9 @@
 	return o
 }
 
-// Draw takes need tokens, and up to spare more if there are plenty. movedAt is the last time at which the ownership may
-// have moved. It returns the tokens and the time until the next one is there.
-func (o *Owned) Draw(need, spare int, rate Rate, movedAt, now clock.Millis) (granted int, waitMs clock.Millis) {
+// Take serves a draw. movedAt is the last time at which the ownership may have moved. It returns the tokens and the time
+// until the next one is there.
+func (o *Owned) Take(d Draw, rate Rate, movedAt, now clock.Millis) (granted int, waitMs clock.Millis) {
 	if o.rate != rate {
 		o.rate = rate
 		o.bucket.Resize(rate, now)
@@ -32,9 +43,13 @@
 		o.bucket.Limit(rate.earned(movedAt, now), now)
 	}
 	o.lastUsed = now
-	granted = o.bucket.Take(need, now)
-	if granted == need && spare > 0 {
-		granted += o.bucket.TakeSpare(spare, now)
+	if d.Urgent {
+		granted = o.bucket.Take(d.Need, now)
+	} else {
+		granted = o.bucket.TakeAbove(d.Need, rate.Burst*reservePart, now)
+	}
+	if granted == d.Need && d.Spare > 0 {
+		granted += o.bucket.TakeSpare(d.Spare, now)
 	}
 	return granted, o.bucket.WaitMs(now)
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -74,7 +74,7 @@
 		if now%2000 == 0 {
 			owner, movedAt = 1-owner, now
 		}
-		n, _ := nodes[owner].Draw(10, 0, rate, movedAt, now)
+		n, _ := nodes[owner].Take(quota.Draw{Need: 10, Urgent: true}, rate, movedAt, now)
 		granted += n
 	}
 	assert.Assert(t, granted <= 100*5+100+1, granted)
@@ -86,8 +86,52 @@
 	rate := quota.Rate{PerSecond: 100, Burst: 100}
 	o := quota.NewOwned(rate, 0, 10_000)
 	for now := clock.Millis(10_000); now < 12_000; now += 100 {
-		o.Draw(1, 0, rate, 0, now)
+		o.Take(quota.Draw{Need: 1}, rate, 0, now)
 	}
-	n, _ := o.Draw(80, 0, rate, 11_950, 12_000)
+	n, _ := o.Take(quota.Draw{Need: 80, Urgent: true}, rate, 11_950, 12_000)
 	assert.Equal(t, n, 80)
 }
+
+// Load pattern: an account sends twice its rate, a third of it operations. Guards against operations that are refused
+// while lookups of the same account are admitted.
+func TestOperationsAreRefusedLast(t *testing.T) {
+	rate := quota.Rate{PerSecond: 100, Burst: 100}
+	o := quota.NewOwned(rate, 0, 10_000)
+	lookups, operations, asked := 0, 0, 0
+	for now := clock.Millis(10_000); now < 20_000; now += 5 {
+		urgent := now%15 == 0
+		n, _ := o.Take(quota.Draw{Need: 1, Urgent: urgent}, rate, 0, now)
+		switch {
+		case urgent:
+			asked++
+			operations += n
+		default:
+			lookups += n
+		}
+	}
+	assert.Equal(t, operations, asked)
+	assert.Assert(t, lookups >= 380, "lookups get what operations leave: %d", lookups)
+	assert.Assert(t, lookups+operations <= 100*10+100+1)
+}
+
+// Guards against a small share whose reserve is never left to lookups.
+func TestSmallShareServesLookups(t *testing.T) {
+	rate := quota.Rate{PerSecond: 2, Burst: 0.5}
+	o := quota.NewOwned(rate, 0, 10_000)
+	granted := 0
+	for now := clock.Millis(10_000); now < 20_000; now += 10 {
+		n, _ := o.Take(quota.Draw{Need: 1}, rate, 0, now)
+		granted += n
+	}
+	assert.Assert(t, granted >= 15 && granted <= 21, granted)
+}
+
+// Guards against a token that is lost with a request that was refused elsewhere.
+func TestReturnedTokenIsUsedAgain(t *testing.T) {
+	var s quota.Stock
+	s.Add(1, 0)
+	assert.Assert(t, s.Spend(10))
+	s.Return(20)
+	assert.Assert(t, s.Spend(30))
+	assert.Assert(t, !s.Spend(40))
+}
--- a/core/quota/stock.go
+++ b/core/quota/stock.go
@@ -48,6 +48,11 @@
 	s.expires = now + leaseMs
 }
 
+// Return gives back the token of a request that did not run.
+func (s *Stock) Return(now clock.Millis) {
+	s.Add(1, now)
+}
+
 // Idle reports whether the account has had no demand for long.
 func (s *Stock) Idle(now clock.Millis) bool {
 	return now >= s.expires && s.demand.PerSecond(now) < 1e-3
