Bound queues by time for short calls and throttle lookups when calls down their chain find no room

Change: a queue of four times the slots, lookups bounded by 250 ms; the node beside a target marks a 500 that came while one of the target's calls found no room, and the origin's throttle counts it; counted by route, not by account. Retry-After of 0.6 s from the throttle and at least 0.4 s beyond a rate, spread.

--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -29,6 +29,10 @@
 	staleMs clock.Millis = 2000
 	// notReadyRetryMs is the advice when to return to a node that is not ready.
 	notReadyRetryMs clock.Millis = 500
+	// throttledRetryMs is the advice while the services behind a route are short of room, overRateRetryMs that for an
+	// account beyond its rate. Callers that return sooner are mostly refused again.
+	throttledRetryMs clock.Millis = 600
+	overRateRetryMs  clock.Millis = 400
 	// bodyRoom is the part of a large body for which memory is set aside before it arrives.
 	bodyRoom = 64 << 10
 )
@@ -62,6 +66,11 @@
 	Done(key retry.ThrottleKey, accepted bool, now clock.Millis)
 }
 
+// Inner is told of calls of the local target that found no room.
+type Inner interface {
+	NoteInnerRefusal()
+}
+
 // Splitter chooses among the services of a route.
 type Splitter interface {
 	Choose(r route.Route) string
@@ -78,6 +87,7 @@
 	Limiter  Limiter
 	Throttle Throttle
 	Splitter Splitter
+	Inner    Inner
 	Sender   *Sender
 	Recorder *decision.Recorder
 }
@@ -278,9 +288,10 @@
 // admit applies the limits of the client account and sends the request.
 func (h *Handler) admit(ctx context.Context, a *arrival) outcome {
 	throttled := a.route.Class == route.Lookup && !a.inner
-	key := retry.ThrottleKey{Account: a.account.ID, Route: a.route.Host + a.route.Prefix}
+	// All accounts of a route are counted together: one account sends too few requests through one node to judge by.
+	key := retry.ThrottleKey{Route: a.route.Host + a.route.Prefix}
 	if throttled && !h.Throttle.Admit(key, h.Clock.Now()) {
-		return refused(call.ReasonOverloaded, h.Sender.RetryAfter(0))
+		return refused(call.ReasonOverloaded, h.Sender.RetryAfter(throttledRetryMs))
 	}
 	limited := a.account.ID != "" && !a.route.Open
 	urgent := a.route.Class == route.OnceOnly
@@ -289,13 +300,16 @@
 			if ctx.Err() != nil {
 				return refused(call.ReasonCallerGone, 0)
 			}
-			return refused(call.ReasonOverRate, retryAfter)
+			return refused(call.ReasonOverRate, h.Sender.RetryAfter(max(retryAfter, overRateRetryMs)))
 		}
 	}
 	result := h.Sender.Send(ctx, h.job(a))
 	if throttled {
 		h.Throttle.Done(key, !overloaded(result), h.Clock.Now())
 	}
+	if a.inner && overloaded(result) {
+		h.Inner.NoteInnerRefusal()
+	}
 	o := outcome{Result: result}
 	if limited && result.Reply.Run == call.NotRun {
 		h.Limiter.Return(a.account, urgent)
@@ -306,9 +320,14 @@
 	return o
 }
 
-// overloaded reports whether the request failed because it, or a call that its target made, found no room.
+// overloaded reports whether the request failed because it, or a call that its target made, found no room. A target that
+// rejects requests although its gate lets no more through than it has slots is not short of room: sending it less would
+// not make it accept more.
 func overloaded(r Result) bool {
-	return r.Reply.Reason.Overload()
+	if r.Reply.ShedByTarget {
+		return false
+	}
+	return r.Reply.InnerRefused || r.Reply.Reason.Overload() || r.Reply.Reason == call.ReasonNoTarget
 }
 
 func (h *Handler) job(a *arrival) Job {
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,8 @@
 type Runner struct {
 	Config
 	absent absentTargets
+	// innerRefusedAt is the last time at which a call of the target found no room.
+	innerRefusedAt atomic.Int64
 }
 
 // New returns a runner with these dependencies.
@@ -55,6 +58,17 @@
 	return &Runner{Config: c}
 }
 
+// NoteInnerRefusal records that a call which the local target made found no room at a further service.
+func (r *Runner) NoteInnerRefusal() {
+	r.innerRefusedAt.Store(int64(r.Clock.Now()))
+}
+
+// innerRefused reports whether the target failed a request while one of its calls was refused. Calls don't say to which
+// request they belong, so that another request may be the one that was hit.
+func (r *Runner) innerRefused(response *upstream.Response, since clock.Millis) bool {
+	return response != nil && response.Status >= http.StatusInternalServerError && clock.Millis(r.innerRefusedAt.Load()) >= since
+}
+
 // Run admits the request, runs it at the target and returns the reply with the target's response, if there is one.
 func (r *Runner) Run(ctx context.Context, c dispatch.Context, request *upstream.Request) (dispatch.Reply, *upstream.Response) {
 	received := r.Clock.Now()
@@ -83,8 +97,10 @@
 		return reply, nil
 	}
 	start := time.Now()
+	admitted := r.Clock.Now()
 	reply, response := r.send(ctx, c, request, deadline-r.Clock.Now())
 	reply.TargetMs = float64(time.Since(start).Microseconds()) / 1000
+	reply.InnerRefused = r.innerRefused(response, admitted)
 	sample := gate.Sample{
 		LatencyMs: reply.TargetMs,
 		Failed:    !reply.OK() || response.Status >= http.StatusInternalServerError,
--- a/coltsfootd/mesh/gate.go
+++ b/coltsfootd/mesh/gate.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// queuePart is the part of the slots that may wait: a longer queue makes callers wait for a refusal.
-	queuePart = 2
-	minQueue  = 8
+	// queuePerSlot bounds the queue. It leaves room for the short calls of other targets, of which many wait for a few
+	// milliseconds; long requests are bounded by queueTimeoutMs.
+	queuePerSlot = 4
 	// queueTimeoutMs bounds the wait of a lookup, so that it can still be tried elsewhere.
 	queueTimeoutMs clock.Millis = 250
 )
@@ -16,6 +16,6 @@
 // gateConfig returns the policy of a gate in front of a target with the number of slots.
 func gateConfig(slots int) gate.Config {
 	return gate.Config{
-		Slots: slots, QueueLimit: max(minQueue, slots/queuePart), QueueTimeoutMs: queueTimeoutMs, Enabled: true,
+		Slots: slots, QueueLimit: slots * queuePerSlot, QueueTimeoutMs: queueTimeoutMs, Enabled: true,
 	}
 }
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -139,7 +139,7 @@
 	n.handler = forward.New(forward.Config{
 		Node: s.NodeName, Service: s.Service, Clock: n.clock, Dialect: dialect, Values: n.directory, Limiter: n.limiter,
 		Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))),
-		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder,
+		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, Inner: n.runner,
 		Sender: forward.NewSender(forward.SenderConfig{
 			Address: s.PeerAddress, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory, Peers: n.peers,
 			Local:    n.runner,
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -69,6 +69,8 @@
 	RetryAfterMs clock.Millis `json:"retryAfterMs,omitempty"`
 	// ShedByTarget is true if the target itself rejected the request.
 	ShedByTarget bool `json:"shedByTarget,omitempty"`
+	// InnerRefused is true if the target failed the request after a call that it made was refused for lack of room.
+	InnerRefused bool `json:"innerRefused,omitempty"`
 	// TargetMs is the time that the target took.
 	TargetMs float64   `json:"targetMs,omitempty"`
 	Load     call.Load `json:"load"`
