--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -29,6 +29,8 @@
 	staleMs clock.Millis = 2000
 	// notReadyRetryMs is the advice when to return to a node that is not ready.
 	notReadyRetryMs clock.Millis = 500
+	// leavingRetryMs is the advice of a node that stops; another one answers at once.
+	leavingRetryMs clock.Millis = 100
 	// throttledRetryMs is the advice while the services behind a route are short of room, overRateRetryMs that for an
 	// account beyond its rate. Callers that return sooner are mostly refused again.
 	throttledRetryMs clock.Millis = 600
@@ -95,7 +97,8 @@
 // Handler accepts the requests of callers and of the local target.
 type Handler struct {
 	Config
-	closing atomic.Bool
+	closing  atomic.Bool
+	refusing atomic.Bool
 }
 
 // New returns a handler with these dependencies.
@@ -108,6 +111,12 @@
 	h.closing.Store(true)
 }
 
+// SetRefusing makes the handler refuse new requests of callers. Calls of the local target still go through, for the
+// requests that it runs.
+func (h *Handler) SetRefusing() {
+	h.refusing.Store(true)
+}
+
 // arrival is a request with what was found out about it.
 type arrival struct {
 	request  *http.Request
@@ -190,6 +199,9 @@
 		}
 		return refused(reason, notReadyRetryMs)
 	}
+	if h.refusing.Load() && !a.inner {
+		return refused(call.ReasonLeaving, leavingRetryMs)
+	}
 	if a.account.ID != "" && !h.Values.Fresh() {
 		return refused(call.ReasonConfirmTimeout, notReadyRetryMs)
 	}
--- a/coltsfootd/mesh/stop.go
+++ b/coltsfootd/mesh/stop.go
@@ -27,12 +27,13 @@
 	time.Sleep(leaveTime)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	// Calls of the local target keep arriving at the entry until the requests that it runs have ended.
-	for n.peer.Active() > 0 && ctx.Err() == nil {
+	n.handler.SetRefusing()
+	errPeer := n.peer.Shutdown(ctx)
+	// Calls of the local target arrive at the entry until the requests that it runs have ended.
+	for n.entry.Active() > 0 && ctx.Err() == nil {
 		time.Sleep(idlePoll)
 	}
 	errEntry := n.entry.Shutdown(ctx)
-	errPeer := n.peer.Shutdown(ctx)
 	for _, s := range n.plain {
 		_ = s.Close()
 	}
--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -314,7 +315,12 @@
 	}
 }
 
-// setDown takes the peer out of the choice and ends the calls that may be sent elsewhere.
+// silent reports whether nothing came back, as from a machine without power or behind a partition.
+func silent(cause error) bool {
+	return errors.Is(cause, os.ErrDeadlineExceeded) || errors.Is(cause, context.DeadlineExceeded)
+}
+
+// setDown takes the peer out of the choice. If it is silent, the calls that may be sent elsewhere end.
 func (p *Peer) setDown(cause error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -325,6 +331,10 @@
 			"err", cause)
 	}
 	p.down = true
+	if !silent(cause) {
+		// A node that stops refuses new connections and still answers on the old ones; those of one that died break.
+		return
+	}
 	for _, f := range p.calls {
 		if f.cancel != nil {
 			f.cancel(ErrSilent)
