--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core peer coltsfootd coltsfootctl standin integration
+MODULES := core peer platform coltsfootd coltsfootctl standin integration
 GO ?= go
 LINT = $$(cd $(CURDIR)/tools/lint && GOWORK=off $(GO) tool -n golangci-lint)
 
--- a/coltsfootd/cmd/mesh.go
+++ b/coltsfootd/cmd/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/coltsfootd/mesh"
 	"coltsfootusher.example/coltsfootd/meshsetting"
+	"coltsfootusher.example/coltsfootd/metric"
 	"coltsfootusher.example/platform"
 )
 
@@ -35,7 +37,7 @@
 	logs := logging.NewAsync(stdout)
 	defer func() { _ = logs.Close() }()
 	store := platform.New(settings.PlatformAddress, settings.Peer().Port(), platformTransport())
-	n, err := mesh.New(settings, store, platform.Dialect{}, logs)
+	n, err := mesh.New(settings, store, platform.Dialect{}, expvar.NewMap(metric.Map), logs)
 	if err != nil {
 		return err
 	}
--- a/coltsfootd/entry/log_test.go
+++ b/coltsfootd/entry/log_test.go
@@ -85,7 +85,8 @@
 	values := fixed{snapshot(t)}
 	handler := entry.New(entry.Config{
 		Node: "riders-a1", Clock: clock.NewFake(1_000), Snapshots: values, Holder: values, Limiter: noLimit{},
-		Operations: noOperations{}, Throttle: retry.NewThrottle(retry.DefaultThrottleFactor, rand.New(rand.NewPCG(1, 1))), Sender: sender{},
+		Operations: noOperations{}, Sender: sender{},
+		Throttle: retry.NewThrottle(retry.DefaultThrottleFactor, rand.New(rand.NewPCG(1, 1))),
 		Recorder: recorder, Calls: metric.NewCallCounter(metrics), MaxBody: 1 << 10,
 	})
 	var ids []string
--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -13,6 +13,7 @@
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/directory"
 	"coltsfootusher.example/coltsfootd/message"
+	"coltsfootusher.example/coltsfootd/metric"
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
@@ -68,6 +69,11 @@
 	Done(key retry.ThrottleKey, accepted bool, now clock.Millis)
 }
 
+// Latency measures how long requests took.
+type Latency interface {
+	Observe(class route.Class, outcome metric.Outcome, took clock.Millis)
+}
+
 // Inner is told of calls of the local target that found no room.
 type Inner interface {
 	NoteInnerRefusal()
@@ -90,6 +96,7 @@
 	Throttle Throttle
 	Splitter Splitter
 	Inner    Inner
+	Latency  Latency
 	Sender   *Sender
 	Recorder *decision.Recorder
 }
@@ -370,6 +377,7 @@
 
 func (h *Handler) record(a *arrival, o outcome) {
 	now := h.Clock.Now()
+	h.Latency.Observe(a.route.Class, outcomeOf(o), now-a.received)
 	action := "request answered"
 	if o.Response == nil {
 		action = "request refused or failed"
@@ -381,6 +389,10 @@
 	})
 }
 
+func outcomeOf(o outcome) metric.Outcome {
+	return metric.OutcomeOf(call.Result{Reason: o.Reply.Reason, Run: o.Reply.Run})
+}
+
 func ageOrUnknown(age clock.Millis) clock.Millis {
 	if age == clock.Never {
 		return -1
--- /dev/null
+++ b/coltsfootd/mesh/fixture_test.go
@@ -0,0 +1,270 @@
+package mesh_test
+
+import (
+	"bytes"
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/zeebo/errs"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"coltsfootusher.example/coltsfootd/mesh"
+	"coltsfootusher.example/coltsfootd/meshsetting"
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/dialect"
+	"coltsfootusher.example/core/published"
+	"coltsfootusher.example/core/roster"
+	"coltsfootusher.example/core/vm"
+)
+
+// plainDialect is the dialect of the targets and callers in these tests.
+type plainDialect struct{}
+
+func (plainDialect) EchoHeader() string { return "Id" }
+
+func (plainDialect) ReadCaller(h http.Header) dialect.CallerRequest {
+	return dialect.CallerRequest{RequestID: h.Get("Id"), Key: h.Get("Key"), HasKey: h.Get("Key") != ""}
+}
+
+func (plainDialect) DropCaller(h http.Header) {
+	for _, name := range []string{"Key", "Account", "Caller", "Target"} {
+		h.Del(name)
+	}
+}
+
+func (plainDialect) WriteRetryAfter(h http.Header, after clock.Millis) {
+	h.Set("Retry-After", strconv.FormatFloat(after.Duration().Seconds(), 'f', 3, 64))
+}
+
+func (plainDialect) WriteTarget(h http.Header, t dialect.TargetRequest) {
+	h.Set("Account", t.Account)
+	h.Set("Caller", t.Caller)
+	h.Set("Target", t.Target)
+}
+
+func (plainDialect) ReadTarget(_ int, h http.Header) dialect.TargetAnswer {
+	return dialect.TargetAnswer{Genuine: h.Get("By") != ""}
+}
+
+func (plainDialect) ReadHealth(_ int, h http.Header) string { return h.Get("By") }
+
+// memorySource publishes what the tests set.
+type memorySource struct {
+	away atomic.Bool
+
+	mu      sync.Mutex
+	policy  published.Policy
+	targets []roster.Change
+	changed chan struct{}
+}
+
+var errAway = errs.New("the platform is away")
+
+func (s *memorySource) setPolicy(p published.Policy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.policy = p
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memorySource) Policy(context.Context) (published.Policy, error) {
+	if s.away.Load() {
+		return published.Policy{}, errAway
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.policy, nil
+}
+
+func (s *memorySource) Targets(context.Context) (roster.Delta, []error, error) {
+	if s.away.Load() {
+		return roster.Delta{}, nil, errAway
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return roster.Delta{Revision: 1, Whole: true, Changes: s.targets}, nil, nil
+}
+
+func (s *memorySource) WatchTargets(ctx context.Context, after int64, _ clock.Millis) (roster.Delta, []error, error) {
+	<-ctx.Done()
+	return roster.Delta{Base: after, Revision: after}, nil, errAway
+}
+
+func (s *memorySource) WatchPolicy(ctx context.Context, after int64, _ clock.Millis) (*published.Policy, int64, error) {
+	s.mu.Lock()
+	changed := s.changed
+	s.mu.Unlock()
+	select {
+	case <-changed:
+		p, err := s.Policy(ctx)
+		return &p, after + 1, err
+	case <-ctx.Done():
+		return nil, after, errAway
+	}
+}
+
+// target is a target that records what it gets.
+type target struct {
+	id          string
+	service     string
+	address     string
+	runs        atomic.Int64
+	loseAnswers atomic.Bool
+	hold        atomic.Bool
+	release     chan struct{}
+
+	mu  sync.Mutex
+	got ranRequest
+}
+
+type ranRequest struct {
+	uri, body string
+	header    http.Header
+}
+
+func newTarget(t *testing.T, id, service string) *target {
+	t.Helper()
+	tg := &target{id: id, service: service, release: make(chan struct{})}
+	server := httptest.NewServer(tg)
+	t.Cleanup(server.Close)
+	tg.address = strings.TrimPrefix(server.URL, "http://")
+	return tg
+}
+
+func (tg *target) last() ranRequest {
+	tg.mu.Lock()
+	defer tg.mu.Unlock()
+	return tg.got
+}
+
+// ServeHTTP runs a request.
+func (tg *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	tg.mu.Lock()
+	tg.got = ranRequest{uri: r.RequestURI, body: string(body), header: r.Header}
+	tg.mu.Unlock()
+	tg.runs.Add(1)
+	if tg.loseAnswers.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	if tg.hold.Load() {
+		<-tg.release
+	}
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("By", tg.id)
+	_, _ = fmt.Fprintf(w, "%s ran it", tg.id)
+}
+
+type node struct {
+	entry, readiness string
+	stop             context.CancelFunc
+	done             chan error
+}
+
+// fleet is a number of nodes in one process, each beside a target of one service.
+type fleet struct {
+	source  *memorySource
+	targets []*target
+	nodes   []*node
+	client  *http.Client
+}
+
+func newFleet(t *testing.T, services ...string) *fleet {
+	t.Helper()
+	f := &fleet{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	f.source = &memorySource{policy: testPolicy(), changed: make(chan struct{})}
+	var settings []meshsetting.Settings
+	for i, service := range services {
+		tg := newTarget(t, "t"+strconv.Itoa(i), service)
+		f.targets = append(f.targets, tg)
+		s := meshsetting.Default()
+		s.NodeName, s.Service, s.FailureDomain, s.FailureDomains = "n"+strconv.Itoa(i), service, "d1", []string{"d1"}
+		s.EntryAddress, s.PeerAddress, s.ReadinessAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+		s.TargetAddress, s.PlatformAddress = tg.address, "127.0.0.1:1"
+		// The lease is this less its margin.
+		s.KeyLeaseSeconds = 3
+		settings = append(settings, s)
+		f.source.targets = append(f.source.targets, roster.Change{Name: tg.id, Revision: 1, VM: &vm.VM{
+			Name: tg.id, FailureDomain: "d1", Service: service, State: vm.Live, Slots: 8,
+			TargetAddress: tg.address, PeerAddress: s.PeerAddress,
+		}})
+	}
+	for _, s := range settings {
+		f.start(t, s)
+	}
+	for i := range f.nodes {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if !f.ready(i) {
+				return poll.Continue("node %d is not ready", i)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(30*time.Second))
+	}
+	return f
+}
+
+func (f *fleet) start(t *testing.T, s meshsetting.Settings) {
+	t.Helper()
+	n, err := mesh.New(s, f.source, plainDialect{}, new(expvar.Map).Init(), io.Discard)
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	running := &node{entry: s.EntryAddress, readiness: s.ReadinessAddress, stop: stop, done: make(chan error, 1)}
+	go func() { running.done <- n.Run(ctx) }()
+	t.Cleanup(stop)
+	f.nodes = append(f.nodes, running)
+}
+
+func (f *fleet) ready(i int) bool {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+f.nodes[i].readiness+"/", nil)
+	if err != nil {
+		return false
+	}
+	response, err := f.client.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+type received struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func reader(body string) io.Reader {
+	if body == "" {
+		return nil
+	}
+	return bytes.NewBufferString(body)
+}
+
+func readAnswer(t *testing.T, response *http.Response) received {
+	t.Helper()
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return received{status: response.StatusCode, header: response.Header, body: string(body)}
+}
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -84,6 +84,7 @@
 	runner    *localtarget.Runner
 	handler   *forward.Handler
 	recorder  *decision.Recorder
+	latency   *metric.Latency
 	target    *upstream.Pool
 
 	entry, peer *server
@@ -98,14 +99,16 @@
 	listener net.Listener
 }
 
-// New builds a node and opens its listeners; logs go to logs.
-func New(s meshsetting.Settings, source directory.Source, dialect Dialect, logs io.Writer) (*Node, error) {
+// New builds a node and opens its listeners; counters go to metrics, logs to logs.
+func New(
+	s meshsetting.Settings, source directory.Source, dialect Dialect, metrics *expvar.Map, logs io.Writer,
+) (*Node, error) {
 	n := &Node{
 		settings: s, clock: boottime.Clock{}, incarnation: rand.Uint64() | 1,
 		logger: logging.New(logs, s.LogFormat, s.LogLevel, s.NodeName),
 	}
 	logging.CaptureStandard(n.logger)
-	metrics := expvar.NewMap(metric.Map)
+	n.latency = metric.NewLatency(metrics)
 	n.recorder = decision.New(s.NodeName, n.logger, metrics, recentDecisions, s.LogLinesPerSecond)
 	n.peers = peers.New(s.Peer().Addr().String(), n.clock, logging.Part(n.logger, "peers"))
 	n.target = upstream.New(s.TargetAddress, upstream.Settings{
@@ -114,8 +117,9 @@
 	})
 	health := localtarget.NewHealth(s.Service, dialect, n.target)
 	n.directory = directory.New(directory.Config{
-		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: health, FailureDomain: s.FailureDomain, Incarnation: n.incarnation,
-		LeaseMs: s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Source: source, Peers: n.peers,
+		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: health, FailureDomain: s.FailureDomain,
+		Incarnation: n.incarnation,
+		LeaseMs:     s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Source: source, Peers: n.peers,
 		Logger: logging.Part(n.logger, "directory"),
 	})
 	health.SetViews(n.directory)
@@ -141,7 +145,7 @@
 	n.handler = forward.New(forward.Config{
 		Node: s.NodeName, Service: s.Service, Clock: n.clock, Dialect: dialect, Values: n.directory, Limiter: n.limiter,
 		Throttle: retry.NewThrottle(throttleFactor, rand.New(rand.NewPCG(n.incarnation, 1))),
-		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, Inner: n.runner,
+		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, Inner: n.runner, Latency: n.latency,
 		Sender: forward.NewSender(forward.SenderConfig{
 			Address: s.PeerAddress, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory, Peers: n.peers,
 			Local:    n.runner,
--- /dev/null
+++ b/coltsfootd/mesh/mesh_test.go
@@ -0,0 +1,191 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/published"
+	"coltsfootusher.example/core/route"
+)
+
+// Guards against a key, or a claim of the caller, that reaches a target, and against an answer that is changed.
+func TestRequestReachesATargetOfItsRoute(t *testing.T) {
+	f := newFleet(t, "riders", "voids")
+	response := f.send(t, 0, http.MethodPost, "/voids/1?q=%2f", "secret", "the body")
+	assert.Equal(t, response.status, http.StatusOK)
+	got := f.targets[1].last()
+	assert.Equal(t, got.uri, "/voids/1?q=%2f")
+	assert.Equal(t, got.body, "the body")
+	assert.Equal(t, got.header.Get("Account"), "a1")
+	assert.Equal(t, got.header.Get("Caller"), "riders")
+	assert.Equal(t, got.header.Get("Key"), "")
+	assert.Equal(t, got.header.Get("Target"), f.targets[1].id)
+	assert.Equal(t, response.body, f.targets[1].id+" ran it")
+}
+
+// Guards against requests that run without a valid key, or on a route that does not exist.
+func TestRequestsThatThePolicyDoesNotAllow(t *testing.T) {
+	f := newFleet(t, "voids")
+	for path, want := range map[string]int{"/voids/1": http.StatusUnauthorized, "/none/": http.StatusNotFound} {
+		assert.Equal(t, f.send(t, 0, http.MethodGet, path, "wrong", "").status, want, path)
+	}
+	assert.Equal(t, f.targets[0].runs.Load(), int64(0))
+	assert.Equal(t, f.send(t, 0, http.MethodGet, "/open/1", "", "").status, http.StatusOK)
+}
+
+// Guards against a key that still works at a node which can't learn that it was withdrawn, and against a refusal that
+// lasts when the platform is back.
+func TestKeyStopsWorkingWhenThePolicyCannotBeConfirmed(t *testing.T) {
+	f := newFleet(t, "voids")
+	assert.Equal(t, f.send(t, 0, http.MethodGet, "/voids/1", "secret", "").status, http.StatusOK)
+	f.source.away.Store(true)
+	f.waitForStatus(t, 0, "/voids/1", "secret", http.StatusServiceUnavailable)
+	assert.Equal(t, f.send(t, 0, http.MethodGet, "/open/1", "", "").status, http.StatusOK)
+	f.source.away.Store(false)
+	f.waitForStatus(t, 0, "/voids/1", "secret", http.StatusOK)
+}
+
+// Guards against a withdrawn key, or a new one, that is not known at each node within seconds.
+func TestPolicyChangeReachesEveryNode(t *testing.T) {
+	f := newFleet(t, "riders", "voids", "voids")
+	p := testPolicy()
+	p.Version = 9
+	p.Accounts = []account.Account{{ID: "a1", KeyHashes: []string{account.HashKey("new")}}}
+	f.source.setPolicy(p)
+	for node := range f.nodes {
+		f.waitForStatus(t, node, "/voids/1", "secret", http.StatusUnauthorized)
+		f.waitForStatus(t, node, "/voids/1", "new", http.StatusOK)
+	}
+}
+
+// Guards against an operation that runs twice because the answer to it was lost, and against "not run" for it; a lookup
+// is sent once more.
+func TestLostAnswer(t *testing.T) {
+	f := newFleet(t, "riders", "voids", "voids")
+	for _, target := range f.targets {
+		target.loseAnswers.Store(true)
+	}
+	assert.Equal(t, f.send(t, 0, http.MethodPost, "/voids/1", "secret", "x").status, http.StatusBadGateway)
+	assert.Equal(t, f.targets[1].runs.Load()+f.targets[2].runs.Load(), int64(1))
+	assert.Equal(t, f.send(t, 0, http.MethodGet, "/voidlist/1", "secret", "").status, http.StatusBadGateway)
+	assert.Equal(t, f.targets[1].runs.Load()+f.targets[2].runs.Load(), int64(3))
+}
+
+// Guards against a planned stop that cuts a request which the node has accepted, as origin or beside its target.
+func TestStopFinishesWhatRuns(t *testing.T) {
+	f := newFleet(t, "riders", "voids")
+	f.targets[1].hold.Store(true)
+	answered := make(chan int, 2)
+	for _, node := range []int{0, 1} {
+		go func() { answered <- f.send(t, node, http.MethodPost, "/voids/1", "secret", "x").status }()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.targets[1].runs.Load() < 2 {
+			return poll.Continue("%d requests have begun", f.targets[1].runs.Load())
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	f.nodes[1].stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.ready(1) {
+			return poll.Continue("the node is still ready")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	close(f.targets[1].release)
+	for range 2 {
+		assert.Equal(t, <-answered, http.StatusOK)
+	}
+	assert.NilError(t, <-f.nodes[1].done)
+}
+
+// Guards against a caller that is held beyond the time of the route.
+func TestRouteTimeoutIsAnswered(t *testing.T) {
+	f := newFleet(t, "voids")
+	f.targets[0].hold.Store(true)
+	defer close(f.targets[0].release)
+	assert.Equal(t, f.send(t, 0, http.MethodGet, "/short/1", "secret", "").status, http.StatusGatewayTimeout)
+}
+
+// Guards against an account that gets more than its rate by sending to every node.
+func TestRateCountsOverAllNodes(t *testing.T) {
+	f := newFleet(t, "voids", "voids", "voids")
+	p := testPolicy()
+	p.Version = 9
+	p.Accounts[0].RatePerSecond, p.Accounts[0].Burst = 2, 4
+	f.source.setPolicy(p)
+	var admitted, refused atomic.Int64
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for node := range f.nodes {
+			switch f.send(t, node, http.MethodGet, "/voids/1", "secret", "").status {
+			case http.StatusOK:
+				admitted.Add(1)
+			case http.StatusTooManyRequests:
+				refused.Add(1)
+			}
+		}
+		if refused.Load() == 0 {
+			return poll.Continue("no request was refused")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	start := time.Now()
+	admitted.Store(0)
+	for range 100 {
+		for node := range f.nodes {
+			if f.send(t, node, http.MethodGet, "/voids/1", "secret", "").status == http.StatusOK {
+				admitted.Add(1)
+			}
+		}
+	}
+	allowed := 2*time.Since(start).Seconds() + 4 + 1
+	assert.Assert(t, float64(admitted.Load()) <= allowed, "%d admitted, %v allowed", admitted.Load(), allowed)
+}
+
+func testPolicy() published.Policy {
+	return published.Policy{
+		Version: 5, KeysRequired: true,
+		Accounts: []account.Account{{ID: "a1", KeyHashes: []string{account.HashKey("secret")}}},
+		Routes: []route.Route{
+			{Prefix: "/voids/", Service: "voids", Class: route.OnceOnly, TimeoutMs: 30_000, ObjectiveMs: 1000, MaxTargets: 2},
+			{Prefix: "/voidlist/", Service: "voids", Class: route.Lookup, TimeoutMs: 30_000, ObjectiveMs: 1000, MaxTargets: 2},
+			{Prefix: "/short/", Service: "voids", Class: route.Lookup, TimeoutMs: 300, ObjectiveMs: 100, MaxTargets: 1},
+			{Prefix: "/open/", Service: "voids", Class: route.Lookup, TimeoutMs: 30_000, ObjectiveMs: 1000, MaxTargets: 2, Open: true},
+		},
+	}
+}
+
+func (f *fleet) waitForStatus(t *testing.T, node int, path, key string, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := f.send(t, node, http.MethodGet, path, key, "").status; got != want {
+			return poll.Continue("node %d answers %d", node, got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+var requestNumber atomic.Int64
+
+// send sends a request through the node and returns the answer.
+func (f *fleet) send(t *testing.T, node int, method, path, key, body string) received {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), method, "http://"+f.nodes[node].entry+path, reader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Id", fmt.Sprint(requestNumber.Add(1)))
+	r.Header.Set("Account", "claimed")
+	if key != "" {
+		r.Header.Set("Key", key)
+	}
+	response, err := f.client.Do(r)
+	assert.NilError(t, err)
+	return readAnswer(t, response)
+}
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -152,7 +152,8 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Holder: n.control, Limiter: n.limits,
-		Operations: ops, Throttle: retry.NewThrottle(retry.DefaultThrottleFactor, rand.New(rand.NewPCG(n.incarnation, 1))), Sender: sender,
+		Operations: ops, Sender: sender,
+		Throttle: retry.NewThrottle(retry.DefaultThrottleFactor, rand.New(rand.NewPCG(n.incarnation, 1))),
 		Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes, Calls: metric.NewCallCounter(metrics),
 	})
 	n.servers = []*server{
--- a/coltsfootd/quotas/quotas.go
+++ b/coltsfootd/quotas/quotas.go
@@ -78,7 +78,10 @@
 
 // New returns a limiter without tokens.
 func New(c Config) *Limiter {
-	return &Limiter{Config: c, started: c.Clock.Now(), stocks: make(map[stockKey]*stock), owned: ownedBuckets{buckets: make(map[string]*bucket)}}
+	return &Limiter{
+		Config: c, started: c.Clock.Now(), stocks: make(map[stockKey]*stock),
+		owned: ownedBuckets{buckets: make(map[string]*bucket)},
+	}
 }
 
 // Run forgets accounts without demand until ctx ends.
--- /dev/null
+++ b/coltsfootd/upstream/upstream_test.go
@@ -0,0 +1,148 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/coltsfootd/upstream"
+)
+
+// serveRaw accepts connections and hands each to serve with its number, starting at 0.
+func serveRaw(t *testing.T, serve func(number int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(number, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func newPool(address string) *upstream.Pool {
+	return upstream.New(address, upstream.Settings{
+		DialTimeout: time.Second, SilenceLimit: 2 * time.Second, IdleLimit: time.Minute, MaxIdle: 4, EchoHeader: "Id",
+		BufferBytes: 1 << 10,
+	})
+}
+
+func request(id string) *upstream.Request {
+	return &upstream.Request{Method: http.MethodGet, URI: "/a//b?c=%2f", Host: "h", Header: http.Header{"Id": {id}}}
+}
+
+func answer(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Guards against an answer that belongs to an earlier request on the connection and is taken for the present one's.
+func TestLateAnswerOfAnEarlierRequestIsSkipped(t *testing.T) {
+	address := serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			got, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if n == 1 {
+				answer(c, "first", "again")
+			}
+			answer(c, got.Header.Get("Id"), got.Header.Get("Id"))
+		}
+	})
+	pool := newPool(address)
+	for _, id := range []string{"first", "second"} {
+		response, err := pool.Do(context.Background(), request(id))
+		assert.NilError(t, err)
+		assert.Equal(t, string(response.Body), id)
+	}
+	assert.Equal(t, pool.Opened(), int64(1))
+}
+
+// Guards against bytes beyond an answer that become the beginning of the next one.
+func TestConnectionWithUnaskedBytesIsNotUsedAgain(t *testing.T) {
+	address := serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		got, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer(c, got.Header.Get("Id"), "ok")
+		answer(c, got.Header.Get("Id"), "ok")
+		_, _ = http.ReadRequest(r)
+	})
+	pool := newPool(address)
+	for _, id := range []string{"1", "2", "3"} {
+		response, err := pool.Do(context.Background(), request(id))
+		assert.NilError(t, err)
+		assert.Equal(t, string(response.Body), "ok")
+	}
+}
+
+// Guards against a part of a body that looks complete, and against "not sent" for a request that may have run.
+func TestWhatAFailureProves(t *testing.T) {
+	address := serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf")
+		}
+	})
+	_, err := newPool(address).Do(context.Background(), request("1"))
+	var failure *upstream.Failure
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, failure.Sent)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, err = newPool(closed).Do(context.Background(), request("1"))
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, !failure.Sent && failure.Unreachable)
+}
+
+// Guards against a request that goes on after its caller has left.
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	arrived, gone := make(chan struct{}), make(chan struct{})
+	address := serveRaw(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		close(arrived)
+		_, _ = r.ReadByte()
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := newPool(address).Do(ctx, request("1"))
+	assert.Assert(t, errors.Is(err, context.Canceled), err)
+	<-gone
+}
+
+// Guards against a path that is changed on the way.
+func TestURIIsSentAsItIs(t *testing.T) {
+	address := serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if got, err := http.ReadRequest(r); err == nil {
+			answer(c, got.Header.Get("Id"), got.RequestURI)
+		}
+	})
+	response, err := newPool(address).Do(context.Background(), request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(response.Body), "/a//b?c=%2f")
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -86,7 +86,9 @@
 }
 
 // Assemble returns a snapshot of sections that a publisher with its own format has checked.
-func Assemble(version int64, routes []route.Route, accounts []account.Account, services []service.Service, vms []vm.VM) *Snapshot {
+func Assemble(
+	version int64, routes []route.Route, accounts []account.Account, services []service.Service, vms []vm.VM,
+) *Snapshot {
 	s := &Snapshot{Versions: map[Name]int64{Routes: version, Accounts: version, Services: version}}
 	s.Routes.Routes = routes
 	s.Accounts.Accounts = accounts
