--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -346,7 +346,7 @@
 	if r.Reply.ShedByTarget {
 		return false
 	}
-	return r.Reply.InnerRefused || r.Reply.Reason.Overload() || r.Reply.Reason == call.ReasonNoTarget
+	return r.Reply.InnerRefused || r.Reply.Reason.Overload()
 }
 
 func (h *Handler) job(a *arrival) Job {
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -263,7 +263,6 @@
 
 func readAnswer(t *testing.T, response *http.Response) received {
 	t.Helper()
-	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
 	return received{status: response.StatusCode, header: response.Header, body: string(body)}
--- a/coltsfootd/mesh/mesh_test.go
+++ b/coltsfootd/mesh/mesh_test.go
@@ -187,5 +187,6 @@
 	}
 	response, err := f.client.Do(r)
 	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
 	return readAnswer(t, response)
 }
