Take the throttle's factor back to 2

A smaller factor protects operations when a deep service is short for long, and refuses more than needed in the far more frequent bursts.

--- a/coltsfootd/entry/log_test.go
+++ b/coltsfootd/entry/log_test.go
@@ -85,8 +85,7 @@
 	values := fixed{snapshot(t)}
 	handler := entry.New(entry.Config{
 		Node: "riders-a1", Clock: clock.NewFake(1_000), Snapshots: values, Holder: values, Limiter: noLimit{},
-		Operations: noOperations{}, Sender: sender{},
-		Throttle: retry.NewThrottle(retry.DefaultThrottleFactor, rand.New(rand.NewPCG(1, 1))),
+		Operations: noOperations{}, Throttle: retry.NewThrottle(rand.New(rand.NewPCG(1, 1))), Sender: sender{},
 		Recorder: recorder, Calls: metric.NewCallCounter(metrics), MaxBody: 1 << 10,
 	})
 	var ids []string
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -51,8 +51,6 @@
 	leaseMarginMs      clock.Millis = 400
 	reconfigureEvery                = 100 * time.Millisecond
 	retryWindowSeconds              = 10
-	// throttleFactor is small because a lookup that fails at the end of its chain has cost work at each service before.
-	throttleFactor = 1.5
 
 	targetDialTimeout  = time.Second
 	targetSilenceLimit = 2 * time.Second
@@ -144,7 +142,7 @@
 	})
 	n.handler = forward.New(forward.Config{
 		Node: s.NodeName, Service: s.Service, Clock: n.clock, Dialect: dialect, Values: n.directory, Limiter: n.limiter,
-		Throttle: retry.NewThrottle(throttleFactor, rand.New(rand.NewPCG(n.incarnation, 1))),
+		Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))),
 		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, Inner: n.runner, Latency: n.latency,
 		Sender: forward.NewSender(forward.SenderConfig{
 			Address: s.PeerAddress, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory, Peers: n.peers,
--- a/coltsfootd/node/node.go
+++ b/coltsfootd/node/node.go
@@ -152,8 +152,7 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Node: s.NodeName, Clock: n.clock, Snapshots: n.control, Holder: n.control, Limiter: n.limits,
-		Operations: ops, Sender: sender,
-		Throttle: retry.NewThrottle(retry.DefaultThrottleFactor, rand.New(rand.NewPCG(n.incarnation, 1))),
+		Operations: ops, Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))), Sender: sender,
 		Recorder: n.recorder, MaxBody: s.MaxRequestBodyBytes, Calls: metric.NewCallCounter(metrics),
 	})
 	n.servers = []*server{
--- a/core/retry/throttle.go
+++ b/core/retry/throttle.go
@@ -12,9 +12,9 @@
 	// throttleHalfLifeMs is the time in which counted calls lose half of their number. After overload the accepted calls
 	// double in about this time and the latency, and goodput has to recover within two seconds.
 	throttleHalfLifeMs = 250
-	// DefaultThrottleFactor is a number of calls sent on per accepted one with which more calls reach the gates than they
-	// can accept, so that the gates choose among the calls, and by account.
-	DefaultThrottleFactor = 2
+	// throttleFactor is the number of calls sent on per accepted one. The gates still choose among the calls, and by
+	// account, only as long as more calls reach them than they can accept.
+	throttleFactor = 2
 	// maxThrottleCells bounds the memory; further cells are not throttled until counted calls have decayed.
 	maxThrottleCells = 4096
 	// forgottenCalls is the number of counted calls below which a cell is forgotten.
@@ -35,7 +35,6 @@
 type Throttle struct {
 	mu     sync.Mutex
 	random *rand.Rand
-	factor float64
 	cells  map[ThrottleKey]*throttleCell
 }
 
@@ -44,9 +43,9 @@
 	updated         clock.Millis
 }
 
-// NewThrottle returns a throttle that has seen no calls and sends on factor calls per accepted one.
-func NewThrottle(factor float64, random *rand.Rand) *Throttle {
-	return &Throttle{random: random, factor: factor, cells: make(map[ThrottleKey]*throttleCell)}
+// NewThrottle returns a throttle that has seen no calls.
+func NewThrottle(random *rand.Rand) *Throttle {
+	return &Throttle{random: random, cells: make(map[ThrottleKey]*throttleCell)}
 }
 
 // Admit reports whether a call may be sent on; Done must be called at the end of one that may.
@@ -54,7 +53,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.cell(key, now)
-	if c == nil || t.random.Float64() >= (c.calls-t.factor*c.accepted)/(c.calls+1) {
+	if c == nil || t.random.Float64() >= (c.calls-throttleFactor*c.accepted)/(c.calls+1) {
 		return true
 	}
 	c.calls++
