Divide the fixed part of the repeats among the listed nodes, keep the heap small

A mesh test hung for ten minutes when an assertion failed while a target held requests: the fixture lets them go now.

--- a/coltsfootd/cmd/mesh.go
+++ b/coltsfootd/cmd/mesh.go
@@ -23,6 +23,12 @@
 	platformDialTimeout = 500 * time.Millisecond
 	platformKeepAlive   = time.Second
 	platformIdleConns   = 4
+
+	// meshGCPercent keeps the heap small: the node shares its VM with the target.
+	meshGCPercent = 100
+	// memoryLimitPart is the part of the memory above which collections become frequent.
+	memoryLimitPart = 0.7
+	bytesPerMB      = 1 << 20
 )
 
 // runMesh runs a node on the users' platform until it is told to stop.
@@ -32,7 +38,10 @@
 		return err
 	}
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(meshGCPercent)
+	}
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(settings.MemoryMB * memoryLimitPart * bytesPerMB))
 	}
 	logs := logging.NewAsync(stdout)
 	defer func() { _ = logs.Close() }()
--- a/coltsfootd/forward/budget.go
+++ b/coltsfootd/forward/budget.go
@@ -11,20 +11,38 @@
 // calls below it.
 const levels = 4
 
-// ServiceBudget bounds the repeats of this node for each service to a share of the requests for it.
+// ServiceBudget bounds the repeats of this node for each service, so that those of all nodes together stay within a share
+// of the requests for the service and a fixed number above it.
 type ServiceBudget struct {
-	percent   float64
-	perSecond float64
+	percent float64
+	// fleetPerSecond is the fixed number of repeats a second of all nodes together.
+	fleetPerSecond float64
 
 	mu      sync.Mutex
+	nodes   int
 	budgets map[string]*retry.Budget
 }
 
-// NewServiceBudget returns a budget of this node's part of the fleet's repeats: a share of the requests, and perSecond
-// repeats a second beyond it.
-func NewServiceBudget(share, perSecond float64) *ServiceBudget {
+// NewServiceBudget returns a budget of a fleet of one node.
+func NewServiceBudget(share, fleetPerSecond float64) *ServiceBudget {
 	const percent = 100
-	return &ServiceBudget{percent: share / levels * percent, perSecond: perSecond, budgets: make(map[string]*retry.Budget)}
+	return &ServiceBudget{
+		percent: share / levels * percent, fleetPerSecond: fleetPerSecond, nodes: 1, budgets: make(map[string]*retry.Budget),
+	}
+}
+
+// SetFleet divides the fixed number of repeats among the nodes.
+func (b *ServiceBudget) SetFleet(nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = max(1, nodes)
+	for _, budget := range b.budgets {
+		budget.Configure(b.percent, b.perSecond())
+	}
+}
+
+func (b *ServiceBudget) perSecond() float64 {
+	return b.fleetPerSecond / float64(levels*b.nodes)
 }
 
 func (b *ServiceBudget) of(service string) *retry.Budget {
@@ -32,7 +50,7 @@
 	defer b.mu.Unlock()
 	budget := b.budgets[service]
 	if budget == nil {
-		budget = retry.New(b.percent, b.perSecond)
+		budget = retry.New(b.percent, b.perSecond())
 		b.budgets[service] = budget
 	}
 	return budget
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -125,6 +125,7 @@
 	loseAnswers atomic.Bool
 	hold        atomic.Bool
 	release     chan struct{}
+	once        sync.Once
 
 	mu  sync.Mutex
 	got ranRequest
@@ -140,10 +141,17 @@
 	tg := &target{id: id, service: service, release: make(chan struct{})}
 	server := httptest.NewServer(tg)
 	t.Cleanup(server.Close)
+	// Requests that are held would keep the server from closing.
+	t.Cleanup(tg.letGo)
 	tg.address = strings.TrimPrefix(server.URL, "http://")
 	return tg
 }
 
+// letGo ends the requests that are held.
+func (tg *target) letGo() {
+	tg.once.Do(func() { close(tg.release) })
+}
+
 func (tg *target) last() ranRequest {
 	tg.mu.Lock()
 	defer tg.mu.Unlock()
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -83,6 +83,7 @@
 	handler   *forward.Handler
 	recorder  *decision.Recorder
 	latency   *metric.Latency
+	budget    *forward.ServiceBudget
 	target    *upstream.Pool
 
 	entry, peer *server
@@ -140,6 +141,7 @@
 		Node: s.NodeName, Address: s.TargetAddress, Clock: n.clock, Dialect: dialect, Views: n.directory,
 		Admission: n.admission, Pool: n.target, Recorder: n.recorder,
 	})
+	n.budget = forward.NewServiceBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
 	n.handler = forward.New(forward.Config{
 		Node: s.NodeName, Service: s.Service, Clock: n.clock, Dialect: dialect, Values: n.directory, Limiter: n.limiter,
 		Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))),
@@ -148,15 +150,12 @@
 			Address: s.PeerAddress, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory, Peers: n.peers,
 			Local:    n.runner,
 			Balancer: passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain)),
-			Budget:   forward.NewServiceBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds/fleetSizeForSlack),
+			Budget:   n.budget,
 			Recorder: n.recorder, Random: rand.New(rand.NewPCG(n.incarnation, 3)),
 		}),
 	})
 }
 
-// fleetSizeForSlack is the number of nodes and chain levels among which the fixed part of the repeats is divided.
-const fleetSizeForSlack = 48
-
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+directory.SyncPath, n.directory.ServeSync)
@@ -260,8 +259,9 @@
 	}
 }
 
-// apply sets the size of the gate by what the local target publishes of itself.
+// apply sets the part of the fleet's repeats, and the size of the gate by what the local target publishes of itself.
 func (n *Node) apply(v *directory.View) {
+	n.budget.SetFleet(len(v.VMs.VMs))
 	for _, other := range v.VMs.VMs {
 		if other.TargetAddress != n.settings.TargetAddress {
 			continue
--- a/coltsfootd/mesh/mesh_test.go
+++ b/coltsfootd/mesh/mesh_test.go
@@ -100,7 +100,7 @@
 		}
 		return poll.Success()
 	}, poll.WithTimeout(20*time.Second))
-	close(f.targets[1].release)
+	f.targets[1].letGo()
 	for range 2 {
 		assert.Equal(t, <-answered, http.StatusOK)
 	}
@@ -111,7 +111,7 @@
 func TestRouteTimeoutIsAnswered(t *testing.T) {
 	f := newFleet(t, "voids")
 	f.targets[0].hold.Store(true)
-	defer close(f.targets[0].release)
+	defer f.targets[0].letGo()
 	assert.Equal(t, f.send(t, 0, http.MethodGet, "/short/1", "secret", "").status, http.StatusGatewayTimeout)
 }
 
--- a/coltsfootd/meshsetting/meshsetting.go
+++ b/coltsfootd/meshsetting/meshsetting.go
@@ -58,6 +58,9 @@
 	RetryShare float64 `yaml:"retryShare"`
 	RetrySlack float64 `yaml:"retrySlack"`
 
+	// MemoryMB is the memory that the process may use, in MB; 0 means no limit.
+	MemoryMB float64 `yaml:"memoryMB"`
+
 	LogLevel  string `yaml:"logLevel"`
 	LogFormat string `yaml:"logFormat"`
 	// LogLinesPerSecond bounds the decision lines; those left out are counted.
@@ -113,8 +116,8 @@
 			return Error.New("%s must be greater than 0, got %v", d.key, d.value)
 		}
 	}
-	if s.RetryShare < 0 || s.RetrySlack < 0 || s.LogLinesPerSecond < 0 {
-		return Error.New("retryShare, retrySlack and logLinesPerSecond must not be negative")
+	if s.RetryShare < 0 || s.RetrySlack < 0 || s.MemoryMB < 0 || s.LogLinesPerSecond < 0 {
+		return Error.New("retryShare, retrySlack, memoryMB and logLinesPerSecond must not be negative")
 	}
 	return nil
 }
--- /dev/null
+++ b/coltsfootd/meshsetting/meshsetting_test.go
@@ -0,0 +1,59 @@
+package meshsetting_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/coltsfootd/meshsetting"
+)
+
+const valid = `nodeName: "n"
+failureDomain: "d"
+failureDomains: ["d","e"]
+service: "s"
+entryAddress: "127.0.0.1:1"
+peerAddress: "127.0.0.1:2"
+readinessAddress: "127.0.0.1:3"
+operatorPort: 7000
+targetAddress: "127.0.0.1:4"
+platformAddress: "127.0.0.1:5"
+keyLeaseSeconds: 5
+graceSeconds: 0.5
+memoryMB: 284
+`
+
+func load(t *testing.T, text string) (meshsetting.Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return meshsetting.Load(path)
+}
+
+// Guards against settings that are read with another unit, or without their defaults.
+func TestSettingsAreRead(t *testing.T) {
+	s, err := load(t, valid)
+	assert.NilError(t, err)
+	assert.Equal(t, s.GraceSeconds.Millis().Duration().String(), "500ms")
+	assert.Equal(t, s.Peer().Port(), uint16(2))
+	assert.Equal(t, s.RetrySlack, 48.0)
+}
+
+// Guards against a node that starts with settings that it can't work with.
+func TestWrongSettingsAreRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"unknown key": valid + "entryAdress: x\n",
+		"address":     strings.Replace(valid, "127.0.0.1:4", "target", 1),
+		"missing":     strings.Replace(valid, "nodeName: \"n\"\n", "", 1),
+		"duration":    strings.Replace(valid, "keyLeaseSeconds: 5", "keyLeaseSeconds: 0", 1),
+		"negative":    strings.Replace(valid, "memoryMB: 284", "memoryMB: -1", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := load(t, text)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
