Give a gate room before the published slots are in force

Cause: TestStopFinishesWhatRuns failed in two of four runs: a node that had just started refused requests as overloaded for up to 100 ms, because its gate had one slot and no queue until the published number was applied. The same held after each restart on the platform. Ports of the test fleets now lie below the range of outgoing connections (one run failed to bind).

Change: 16 slots until the number is known.

--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -248,12 +249,32 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// Ports below the range from which the system chooses those of outgoing connections, so that none is taken between the
+// choice and its use.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(rand.Int64N(portCount))
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range portCount {
+		port := firstPort + nextPort.Add(1)%portCount
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.FormatInt(port, 10))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, listener.Close())
+		return listener.Addr().String()
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 type received struct {
--- a/coltsfootd/mesh/gate.go
+++ b/coltsfootd/mesh/gate.go
@@ -6,6 +6,8 @@
 )
 
 const (
+	// initialSlots is the size of the gate of a node that has just started, until the published number is in force.
+	initialSlots = 16
 	// queuePerSlot bounds the queue. It leaves room for the short calls of other targets, of which many wait for a few
 	// milliseconds; long requests are bounded by queueTimeoutMs.
 	queuePerSlot = 4
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -137,6 +137,7 @@
 func (n *Node) buildTraffic(dialect Dialect) {
 	s := n.settings
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
+	n.resize(initialSlots)
 	n.runner = localtarget.New(localtarget.Config{
 		Node: s.NodeName, Address: s.TargetAddress, Clock: n.clock, Dialect: dialect, Views: n.directory,
 		Admission: n.admission, Pool: n.target, Recorder: n.recorder,
@@ -266,13 +267,17 @@
 		if other.TargetAddress != n.settings.TargetAddress {
 			continue
 		}
-		slots := other.Slots
-		n.admission.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision {
-			return g.Configure(gateConfig(slots), now)
-		})
+		n.resize(other.Slots)
 	}
 }
 
+// resize sets the number of requests that the local target runs at a time.
+func (n *Node) resize(slots int) {
+	n.admission.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision {
+		return g.Configure(gateConfig(slots), now)
+	})
+}
+
 // ready reports whether callers are well served here: the policy is confirmed, and each service can be reached.
 func (n *Node) ready() bool {
 	v := n.directory.View()
