Remove fields that nothing reads

Found by reading the change: patience and fingerprint of a request's context (each body was hashed for it), leaving in a target's answer, names in two configurations. The age above which an unknown route or key may be new comes from the settings (configSeconds) instead of a constant.

--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -8,8 +8,6 @@
 	"strings"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
-
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/directory"
 	"coltsfootusher.example/coltsfootd/message"
@@ -26,8 +24,6 @@
 const (
 	// defaultTimeoutMs bounds a request whose caller and route set no time.
 	defaultTimeoutMs clock.Millis = 10_000
-	// staleMs is the age of the confirmation above which an unknown route or key may be a new one.
-	staleMs clock.Millis = 2000
 	// notReadyRetryMs is the advice when to return to a node that is not ready.
 	notReadyRetryMs clock.Millis = 500
 	// leavingRetryMs is the advice of a node that stops; another one answers at once.
@@ -86,9 +82,10 @@
 
 // Config are the dependencies of a Handler.
 type Config struct {
-	Node string
 	// Service is the service of the target beside the node, where the requests begin.
-	Service  string
+	Service string
+	// StaleMs is the age of the confirmation above which an unknown route or key may be a new one.
+	StaleMs  clock.Millis
 	Clock    clock.Clock
 	Dialect  Dialect
 	Values   Values
@@ -201,7 +198,7 @@
 		return refused(call.ReasonNotReady, notReadyRetryMs)
 	}
 	if reason := h.identify(a); reason != "" {
-		if (reason == call.ReasonRouteUnknown || reason == call.ReasonKeyUnknown) && h.Values.Age() > staleMs {
+		if (reason == call.ReasonRouteUnknown || reason == call.ReasonKeyUnknown) && h.Values.Age() > h.StaleMs {
 			reason = call.ReasonConfirmTimeout
 		}
 		return refused(reason, notReadyRetryMs)
@@ -358,23 +355,12 @@
 		Context: dispatch.Context{
 			RequestID: a.caller.RequestID, Service: h.Splitter.Choose(a.route), Route: a.route.Host + a.route.Prefix,
 			Class: a.route.Class, Account: a.account.ID, Caller: h.Service, Priority: a.priority, Inner: a.inner,
-			Fingerprint: fingerprint(a, h.Service),
 		},
 		Method: a.request.Method, URI: a.request.RequestURI, Host: a.request.Host, Header: header, Body: a.body,
 		Deadline: a.received + a.timeout, MaxTargets: max(1, a.route.MaxTargets), ObjectiveMs: a.route.ObjectiveMs,
 	}
 }
 
-func fingerprint(a *arrival, caller string) uint64 {
-	digest := xxhash.New()
-	for _, part := range []string{caller, a.request.Method, a.request.Host, a.request.RequestURI} {
-		_, _ = digest.WriteString(part)
-		_, _ = digest.Write([]byte{0})
-	}
-	_, _ = digest.Write(a.body)
-	return digest.Sum64()
-}
-
 func (h *Handler) record(a *arrival, o outcome) {
 	now := h.Clock.Now()
 	h.Latency.Observe(a.route.Class, outcomeOf(o), now-a.received)
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -34,9 +34,6 @@
 
 // Config are the dependencies of a Runner.
 type Config struct {
-	Node string
-	// Address is the address of the target.
-	Address   string
 	Clock     clock.Clock
 	Dialect   Dialect
 	Views     Views
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -139,12 +139,13 @@
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
 	n.resize(initialSlots)
 	n.runner = localtarget.New(localtarget.Config{
-		Node: s.NodeName, Address: s.TargetAddress, Clock: n.clock, Dialect: dialect, Views: n.directory,
+		Clock: n.clock, Dialect: dialect, Views: n.directory,
 		Admission: n.admission, Pool: n.target, Recorder: n.recorder,
 	})
 	n.budget = forward.NewServiceBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
 	n.handler = forward.New(forward.Config{
-		Node: s.NodeName, Service: s.Service, Clock: n.clock, Dialect: dialect, Values: n.directory, Limiter: n.limiter,
+		Service: s.Service, StaleMs: s.ConfigSeconds.Millis(), Clock: n.clock, Dialect: dialect, Values: n.directory,
+		Limiter: n.limiter,
 		Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))),
 		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, Inner: n.runner, Latency: n.latency,
 		Sender: forward.NewSender(forward.SenderConfig{
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -37,8 +37,6 @@
 	OtherTarget bool
 	// Genuine is true if the answer bears the mark of a target.
 	Genuine bool
-	// Leaving is true if the target says that it is about to leave.
-	Leaving bool
 	// Load is the target's own report, or nil.
 	Load *call.Load
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -38,12 +38,8 @@
 	Inner bool `json:"inner,omitempty"`
 	// TimeoutMs is the time that the caller still waits.
 	TimeoutMs clock.Millis `json:"timeoutMs"`
-	// PatienceMs is the longest useful wait for a slot before the request is better refused.
-	PatienceMs clock.Millis `json:"patienceMs,omitempty"`
 	// Attempt is 0 for the first attempt.
 	Attempt int `json:"attempt,omitempty"`
-	// Fingerprint identifies requests with the same caller, path and body.
-	Fingerprint uint64 `json:"fingerprint,omitempty"`
 }
 
 // Validate reports the first field that is missing or out of range.
@@ -53,8 +49,8 @@
 		return Error.New("context lacks a target or service")
 	case c.Class != route.Lookup && c.Class != route.OnceOnly:
 		return Error.New("context has the unknown class %q", c.Class)
-	case c.TimeoutMs < 0 || c.PatienceMs < 0 || c.Attempt < 0:
-		return Error.New("context has a negative timeout, patience or attempt")
+	case c.TimeoutMs < 0 || c.Attempt < 0:
+		return Error.New("context has a negative timeout or attempt")
 	}
 	return nil
 }
