--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -145,7 +145,7 @@
 	n.budget = forward.NewServiceBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
 	n.handler = forward.New(forward.Config{
 		Service: s.Service, StaleMs: s.ConfigSeconds.Millis(), Clock: n.clock, Dialect: dialect, Values: n.directory,
-		Limiter: n.limiter,
+		Limiter:  n.limiter,
 		Throttle: retry.NewThrottle(rand.New(rand.NewPCG(n.incarnation, 1))),
 		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, Inner: n.runner, Latency: n.latency,
 		Sender: forward.NewSender(forward.SenderConfig{
