--- a/integration/preset_test.go
+++ b/integration/preset_test.go
@@ -32,8 +32,11 @@
 	h := &history{highest: make(map[string]map[string]int64)}
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
+	// All entries are there before the first sampler reads the map.
 	for _, v := range f.VMs {
 		h.highest[v.Name] = make(map[string]int64)
+	}
+	for _, v := range f.VMs {
 		group.Go(func() {
 			for ctx.Err() == nil {
 				if s, err := v.Status(ctx); err == nil && s.Ready {
