Let a published row that is not understood cost only what it names

Cause: one unknown word in one row of the configuration (kind upload) made the whole configuration unreadable; the log blamed the platform and all nodes answered 503 for ever.

Change: rows are decoded one by one.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -87,7 +88,9 @@
 	*fleet.Snapshot
 	PolicyVersion int64
 	KeysRequired  bool
-	Bounds        published.CallerBounds
+	// AccountsIncomplete is true if an unknown key may be that of an account whose row could not be read.
+	AccountsIncomplete bool
+	Bounds             published.CallerBounds
 	// Neighbours are the peer addresses listed in the own failure domain, with this node's own if it is listed, and Others
 	// those of each other domain.
 	Neighbours []string
@@ -103,6 +106,10 @@
 
 	view        atomic.Pointer[View]
 	confirmedAt atomic.Int64
+	// problems is the number of rows of the policy in force that can't be used; unreadable is true while the newest policy
+	// as a whole can't be read.
+	problems   atomic.Int64
+	unreadable atomic.Bool
 
 	lease  freshness.Lease
 	policy *published.Policy
@@ -238,6 +245,12 @@
 		d.readAfter = now + unpublishedRetryMs
 		return
 	}
+	if errors.Is(err, published.ErrUnreadable) {
+		d.platformAnswered(now)
+		d.readAfter = now + unpublishedRetryMs
+		d.policyUnreadable(err)
+		return
+	}
 	if err != nil {
 		d.readAfter = now + readRetryMs
 		d.platformFailed("policy", err)
@@ -288,6 +301,22 @@
 	}
 }
 
+// policyUnreadable logs once that the newest policy can't be read. The one in force holds until its lease ends, since the
+// new one may withdraw keys.
+func (d *Directory) policyUnreadable(err error) {
+	if d.unreadable.Swap(true) {
+		return
+	}
+	_ = level.Error(d.Logger).Log("msg", "published policy can't be read, the former one holds until its confirmation is too old",
+		"err", err, "confirmationAgeMs", int64(d.Age()))
+}
+
+// Publish makes the state of the policy visible among the metrics.
+func (d *Directory) Publish(metrics *expvar.Map) {
+	metrics.Set("policyRowsUnusable", expvar.Func(func() any { return d.problems.Load() }))
+	metrics.Set("policyUnreadable", expvar.Func(func() any { return d.unreadable.Load() }))
+}
+
 // applyPolicy puts a newer policy into force and reports whether it was newer.
 func (d *Directory) applyPolicy(p published.Policy, source string) bool {
 	if d.policy != nil && p.Version <= d.policy.Version {
@@ -298,8 +327,14 @@
 		before = d.policy.Version
 	}
 	d.policy = &p
+	d.unreadable.Store(false)
+	d.problems.Store(int64(len(p.Problems)))
 	_ = level.Info(d.Logger).Log("msg", "policy in force", "version", p.Version, "before", before, "source", source,
-		"routes", len(p.Routes), "accounts", len(p.Accounts))
+		"routes", len(p.Routes), "accounts", len(p.Accounts), "problems", len(p.Problems))
+	for _, problem := range p.Problems {
+		_ = level.Error(d.Logger).Log("msg", "published row can't be used", "version", p.Version, "section", problem.Section,
+			"row", problem.Row, "err", problem.Err)
+	}
 	d.publish()
 	if source == "platform" {
 		d.push(syncMessage{Policy: &p})
@@ -363,6 +398,7 @@
 	v := &View{
 		Snapshot:      d.snapshot(vms),
 		PolicyVersion: d.policy.Version, KeysRequired: d.policy.KeysRequired, Bounds: d.policy.Bounds,
+		AccountsIncomplete: d.policy.AccountsIncomplete,
 	}
 	v.Neighbours, v.Others = addresses(vms, d.FailureDomain)
 	listed := make(map[string]bool)
--- a/coltsfootd/directory/watch.go
+++ b/coltsfootd/directory/watch.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/published"
 )
 
 // watch starts or stops the watches at the platform.
@@ -48,7 +50,9 @@
 		call, cancel := context.WithTimeout(ctx, watchWaitMs.Duration()+watchGrace)
 		p, revision, err := d.Source.WatchPolicy(call, after, watchWaitMs)
 		cancel()
-		if err != nil {
+		if errors.Is(err, published.ErrUnreadable) {
+			d.post(func(clock.Millis) { d.policyUnreadable(err) })
+		} else if err != nil {
 			pause(ctx, watchRetry)
 			after = d.knownRevision(ctx, after)
 			continue
--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -224,6 +224,9 @@
 	if !ok {
 		return call.ReasonRouteUnknown
 	}
+	if found.Blocked {
+		return call.ReasonRouteClosed
+	}
 	a.route, a.priority = found, found.Priority
 	if reason := h.authenticate(a); reason != "" {
 		return reason
@@ -255,6 +258,9 @@
 		return ""
 	case !a.caller.HasKey:
 		return call.ReasonKeyMissing
+	case a.view.AccountsIncomplete:
+		// The key may belong to the account that can't be read; "unknown" would be final for its caller.
+		return call.ReasonNotReady
 	default:
 		return call.ReasonKeyUnknown
 	}
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -133,6 +133,7 @@
 		LeaseMs:     s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Source: source, Peers: n.peers,
 		Logger: logging.Part(n.logger, "directory"),
 	})
+	n.directory.Publish(metrics)
 	health.SetViews(n.directory)
 	n.limiter = quotas.New(quotas.Config{
 		Address: s.PeerAddress, FailureDomains: max(1, len(s.FailureDomains)), Clock: n.clock, Views: n.directory,
--- a/coltsfootd/mesh/mesh_test.go
+++ b/coltsfootd/mesh/mesh_test.go
@@ -45,6 +45,32 @@
 	assert.Equal(t, f.send(t, 0, http.MethodGet, "/open/1", "", "").status, http.StatusOK)
 }
 
+// Guards against a request that falls through to a shorter prefix because the row of its route can't be read, and against
+// a final "unknown" for a key that may be valid: both answers must promise that nothing ran and invite a retry.
+func TestUnreadableRowsAreRefusedWithARetry(t *testing.T) {
+	f := newFleet(t, "voids")
+	p := testPolicy()
+	p.Version = 9
+	p.Routes = append(p.Routes, route.Route{Prefix: "/voids/blocked/", Class: route.OnceOnly, MaxTargets: 1, Blocked: true})
+	p.AccountsIncomplete = true
+	f.source.setPolicy(p)
+	f.waitForStatus(t, 0, "/voids/blocked/1", "secret", http.StatusServiceUnavailable)
+	f.waitForStatus(t, 0, "/voids/1", "other", http.StatusServiceUnavailable)
+	assert.Equal(t, f.targets[0].runs.Load(), int64(0))
+	f.waitForStatus(t, 0, "/voids/1", "secret", http.StatusOK)
+}
+
+// Guards against a policy that can't be read and is taken for an outage that may last: the former policy holds only until
+// its lease ends, since the new one may withdraw keys.
+func TestUnreadablePolicyEndsTheLease(t *testing.T) {
+	f := newFleet(t, "voids")
+	assert.Equal(t, f.send(t, 0, http.MethodGet, "/voids/1", "secret", "").status, http.StatusOK)
+	f.source.unreadable.Store(true)
+	f.waitForStatus(t, 0, "/voids/1", "secret", http.StatusServiceUnavailable)
+	f.source.unreadable.Store(false)
+	f.waitForStatus(t, 0, "/voids/1", "secret", http.StatusOK)
+}
+
 // Guards against a key that still works at a node which can't learn that it was withdrawn, and against a refusal that
 // lasts when the platform is back.
 func TestKeyStopsWorkingWhenThePolicyCannotBeConfirmed(t *testing.T) {
--- a/core/published/policy.go
+++ b/core/published/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/clock"
@@ -12,6 +13,9 @@
 // ErrNoPolicy means that operators have not published a policy yet.
 var ErrNoPolicy = errors.New("no policy is published")
 
+// ErrUnreadable means that the publisher answered with a policy that can't be read at all.
+var ErrUnreadable = errors.New("the published policy can't be read")
+
 // Policy is one version of all that operators publish besides the list of targets.
 type Policy struct {
 	Version  int64             `json:"version"`
@@ -21,6 +25,23 @@
 	// KeysRequired is true if requests need a key, except on open routes.
 	KeysRequired bool         `json:"keysRequired"`
 	Bounds       CallerBounds `json:"bounds"`
+	// AccountsIncomplete is true if the row of an account could not be read, so that an unknown key may be a valid one.
+	AccountsIncomplete bool `json:"accountsIncomplete,omitempty"`
+	// Problems are the rows that could not be used as published. Only the node that read the policy knows them.
+	Problems []Problem `json:"-"`
+}
+
+// Problem is a row of a published policy that could not be used as it is.
+type Problem struct {
+	// Section is the part of the policy, Row the number of the row in it, starting at 0.
+	Section string
+	Row     int
+	Err     error
+}
+
+// Error returns the place and the cause of the problem.
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s: row %d: %v", p.Section, p.Row, p.Err)
 }
 
 // CallerBounds limit what a caller may send, and for how long.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -46,6 +46,8 @@
 	Priority int `json:"priority,omitempty"`
 	// ObjectiveMs is the latency objective of the route; 0 means none.
 	ObjectiveMs clock.Millis `json:"objectiveMs,omitempty"`
+	// Blocked routes match requests that are all refused, because the published row of the route could not be read.
+	Blocked bool `json:"blocked,omitempty"`
 }
 
 // Share is one service of a split with its weight relative to the others.
