Give each account one bucket for the whole fleet

Cause: each failure domain had an equal share of an account's rate and burst. With five domains and 140 accounts of a few requests a second a share had a burst of about one token, and lookups leave a fifth of the burst to operations: a share with a burst from 1 to 1.25 never granted a lookup. TestReserveOfASmallBurstLeavesLookupsAToken fails without the change (0 of 20).

Change: one node owns the bucket, the first of a rendezvous ranking over the fleet that can be reached; it grants the parts of the nodes that it reaches. Draws are passed on once between nodes with different views, and repeated while no owner answers.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"coltsfootusher.example/core/fleet"
 	"coltsfootusher.example/core/freshness"
 	"coltsfootusher.example/core/published"
+	"coltsfootusher.example/core/quota"
 	"coltsfootusher.example/core/roster"
 	"coltsfootusher.example/core/vm"
 )
@@ -95,6 +97,8 @@
 	// those of each other domain.
 	Neighbours []string
 	Others     map[string][]string
+	// Ranking chooses the owners of the accounts' buckets among all listed nodes.
+	Ranking *quota.Ranking
 }
 
 // Directory holds the published values. The goroutine in Run owns all state but the atomic fields.
@@ -405,6 +409,7 @@
 	for _, other := range vms {
 		listed[other.PeerAddress] = true
 	}
+	v.Ranking = quota.NewRanking(slices.Collect(maps.Keys(listed)))
 	d.Peers.Keep(listed)
 	d.view.Store(v)
 }
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -220,7 +220,7 @@
 		tg := newTarget(t, "t"+strconv.Itoa(i), service)
 		f.targets = append(f.targets, tg)
 		s := meshsetting.Default()
-		s.NodeName, s.Service, s.FailureDomain, s.FailureDomains = "n"+strconv.Itoa(i), service, "d1", []string{"d1"}
+		s.NodeName, s.Service, s.FailureDomain = "n"+strconv.Itoa(i), service, "d1"
 		s.EntryAddress, s.PeerAddress, s.ReadinessAddress = freeAddress(t), freeAddress(t), freeAddress(t)
 		s.TargetAddress, s.PlatformAddress = tg.address, "127.0.0.1:1"
 		// The lease is this less its margin.
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -136,8 +136,7 @@
 	n.directory.Publish(metrics)
 	health.SetViews(n.directory)
 	n.limiter = quotas.New(quotas.Config{
-		Address: s.PeerAddress, FailureDomains: max(1, len(s.FailureDomains)), Clock: n.clock, Views: n.directory,
-		Peers: n.peers, Logger: logging.Part(n.logger, "quota"),
+		Address: s.PeerAddress, Clock: n.clock, Views: n.directory, Peers: n.peers, Logger: logging.Part(n.logger, "quota"),
 	})
 	n.buildTraffic(dialect)
 	if err := n.listen(); err != nil {
--- a/coltsfootd/meshsetting/meshsetting.go
+++ b/coltsfootd/meshsetting/meshsetting.go
@@ -36,8 +36,6 @@
 type Settings struct {
 	NodeName      string `yaml:"nodeName"`
 	FailureDomain string `yaml:"failureDomain"`
-	// FailureDomains are all domains of the fleet; each gets an equal share of every account's rate.
-	FailureDomains []string `yaml:"failureDomains"`
 	// Service is the service of the target beside the node.
 	Service string `yaml:"service"`
 
--- a/coltsfootd/meshsetting/meshsetting_test.go
+++ b/coltsfootd/meshsetting/meshsetting_test.go
@@ -13,7 +13,6 @@
 
 const valid = `nodeName: "n"
 failureDomain: "d"
-failureDomains: ["d","e"]
 service: "s"
 entryAddress: "127.0.0.1:1"
 peerAddress: "127.0.0.1:2"
--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -58,6 +58,8 @@
 	mu sync.Mutex
 	// down is true from a failed connection until a probe succeeds.
 	down bool
+	// forgotten is true once the table has dropped the peer.
+	forgotten bool
 	// leaving is the incarnation that said it takes no new work; 0 if none did.
 	leaving uint64
 	probing bool
@@ -81,6 +83,8 @@
 	logger  log.Logger
 	// changedAt is the last time at which a peer was lost or came back.
 	changedAt atomic.Int64
+	// lost is the number of peers that are down.
+	lost atomic.Int64
 
 	mu    sync.Mutex
 	peers map[string]*Peer
@@ -153,7 +157,7 @@
 	for address, p := range t.peers {
 		p.pool.SetMaxIdle(idle)
 		if !listed[address] && p.idle() {
-			p.pool.CloseIdle()
+			p.forget()
 			delete(t.peers, address)
 		}
 	}
@@ -187,6 +191,26 @@
 	return all
 }
 
+// Lost returns the number of peers that can't be reached.
+func (t *Table) Lost() int {
+	return int(t.lost.Load())
+}
+
+// mark sets whether the peer is down; it must be called with the mutex held.
+func (p *Peer) mark(down bool) {
+	if p.down == down {
+		return
+	}
+	p.down = down
+	switch {
+	case p.forgotten:
+	case down:
+		p.table.lost.Add(1)
+	default:
+		p.table.lost.Add(-1)
+	}
+}
+
 // Do sends a request to the peer. A call that may be cancelled ends with ErrSilent as its cause when the node does not
 // answer a probe.
 func (p *Peer) Do(ctx context.Context, r *upstream.Request, cancellable bool) (*upstream.Response, error) {
@@ -235,6 +259,14 @@
 	delete(p.calls, id)
 }
 
+func (p *Peer) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mark(false)
+	p.forgotten = true
+	p.pool.CloseIdle()
+}
+
 func (p *Peer) idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -306,7 +338,7 @@
 	if p.down {
 		p.table.changedAt.Store(int64(p.table.clock.Now()))
 	}
-	p.down = false
+	p.mark(false)
 	switch {
 	case pong.Leaving:
 		changed = changed || p.leaving != pong.Incarnation
@@ -336,7 +368,7 @@
 		_ = level.Warn(p.table.logger).Log("msg", "peer can't be reached", "peer", p.pool.Address(), "calls", len(p.calls),
 			"err", cause)
 	}
-	p.down = true
+	p.mark(true)
 	if !silent(cause) {
 		// A node that stops refuses new connections and still answers on the old ones; those of one that died break.
 		return
--- a/coltsfootd/quotas/quotas.go
+++ b/coltsfootd/quotas/quotas.go
@@ -8,7 +8,6 @@
 	"github.com/go-kit/log"
 
 	"coltsfootusher.example/coltsfootd/directory"
-	"coltsfootusher.example/coltsfootd/peers"
 	"coltsfootusher.example/coltsfootd/periodic"
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/clock"
@@ -16,11 +15,6 @@
 )
 
 const (
-	drawTimeout = 150 * time.Millisecond
-	// borrowTimeout bounds the question to the owners of other failure domains.
-	borrowTimeout = 60 * time.Millisecond
-	// borrowPauseMs is the time for which a domain that had nothing to lend is not asked again.
-	borrowPauseMs clock.Millis = 100
 	// minRetryMs and maxRetryMs bound the advice when to return.
 	minRetryMs clock.Millis = 50
 	maxRetryMs clock.Millis = 2000
@@ -35,20 +29,28 @@
 	View() *directory.View
 }
 
+// Peers are the other nodes.
+type Peers interface {
+	Reachable(address string) bool
+	// Lost returns the number of nodes that can't be reached, ChangedAt the last time at which one was lost or came back.
+	Lost() int
+	ChangedAt() clock.Millis
+	Call(ctx context.Context, address, path string, timeout time.Duration, message, reply any) error
+}
+
 // Config are the settings and dependencies of a Limiter.
 type Config struct {
-	Address        string
-	FailureDomains int
-	Clock          clock.Clock
-	Views          Views
-	Peers          *peers.Table
-	Logger         log.Logger
+	Address string
+	Clock   clock.Clock
+	Views   Views
+	Peers   Peers
+	Logger  log.Logger
 }
 
-// Limiter holds the tokens that this node has drawn, and the buckets that it owns for its failure domain.
+// Limiter holds the tokens that this node has drawn, and the buckets that it owns.
 //
-// Each failure domain gets an equal share of every account's rate. Within a domain one node owns the bucket of an
-// account, chosen by rendezvous hashing. Owners of different domains lend to each other.
+// One node owns the bucket of an account, chosen by rendezvous hashing among the nodes that can be reached. Nodes that are
+// cut off from each other choose different owners; each of these grants the parts of the nodes that it reaches.
 type Limiter struct {
 	Config
 	started clock.Millis
@@ -56,7 +58,7 @@
 	mu     sync.Mutex
 	stocks map[stockKey]*stock
 
-	owned ownedBuckets
+	holder holder
 }
 
 // stockKey names the tokens for the lookups or the operations of an account.
@@ -81,7 +83,7 @@
 func New(c Config) *Limiter {
 	return &Limiter{
 		Config: c, started: c.Clock.Now(), stocks: make(map[stockKey]*stock),
-		owned: ownedBuckets{buckets: make(map[string]*bucket)},
+		holder: holder{Holder: quota.NewHolder()},
 	}
 }
 
@@ -99,6 +101,9 @@
 			delete(l.stocks, id)
 		}
 	}
+	l.holder.mu.Lock()
+	defer l.holder.mu.Unlock()
+	l.holder.Forget(now)
 }
 
 // Admit takes one token of the account; urgent is true for operations. If there is none, retryAfterMs says when one is
--- a/core/quota/owned.go
+++ b/core/quota/owned.go
@@ -46,7 +46,7 @@
 	if d.Urgent {
 		granted = o.bucket.Take(d.Need, now)
 	} else {
-		granted = o.bucket.TakeAbove(d.Need, rate.Burst*reservePart, now)
+		granted = o.bucket.TakeAbove(d.Need, rate.reserve(), now)
 	}
 	if granted == d.Need && d.Spare > 0 {
 		granted += o.bucket.TakeSpare(d.Spare, now)
@@ -54,6 +54,11 @@
 	return granted, o.bucket.WaitMs(now)
 }
 
+// reserve returns the tokens that lookups leave. A full bucket has a token for a lookup, however small the burst is.
+func (r Rate) reserve() float64 {
+	return max(0, min(r.Burst*reservePart, r.Burst-1))
+}
+
 // earned returns the tokens that the rate yields between two times.
 func (r Rate) earned(since, now clock.Millis) float64 {
 	return r.PerSecond * float64(max(0, now-since)) / millisPerSecond
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -135,3 +135,17 @@
 	assert.Assert(t, s.Spend(30))
 	assert.Assert(t, !s.Spend(40))
 }
+
+// Guards against a burst so small that the reserve for operations leaves lookups nothing, whatever the load.
+func TestReserveOfASmallBurstLeavesLookupsAToken(t *testing.T) {
+	for _, burst := range []float64{1, 1.1, 1.25, 1.5, 3} {
+		rate := quota.Rate{PerSecond: 2, Burst: burst}
+		o := quota.NewOwned(rate, 0, 10_000)
+		granted := 0
+		for now := clock.Millis(10_000); now < 20_000; now += 10 {
+			n, _ := o.Take(quota.Draw{Need: 1}, rate, 0, now)
+			granted += n
+		}
+		assert.Assert(t, granted >= 19, "burst %v: %d of 20 lookups", burst, granted)
+	}
+}
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -61,7 +61,7 @@
 
 func (v *vm) writeSettings(domains []string) error {
 	settings := map[string]any{
-		"nodeName": v.name, "failureDomain": v.domain, "failureDomains": domains, "service": v.service,
+		"nodeName": v.name, "failureDomain": v.domain, "service": v.service,
 		"entryAddress": v.address(entryPort), "peerAddress": v.address(peerPort), "peerListenAddress": v.address(peerListenPort),
 		"readinessAddress": v.address(readinessPort), "operatorPort": operatorPort, "targetAddress": v.address(targetPort),
 		"platformAddress": v.address(storePort), "keyLeaseSeconds": revokeTime.Seconds(), "graceSeconds": graceTime.Seconds(),
