Read the platform's store through one node of the fleet

Cause: each failure domain had a reader with a read a second, two watches and a whole list every 3 s, linearizable, four pages a list; each node that the list did not show yet read the whole list every 3 s and the configuration every 0.6 s.

Change: the nodes of the fleet that reach each other are ranked; the first one reads and watches, the first of each domain asks it and passes news on to its domain, the others ask the first of their domain, just after it can have news. Takeover doubles the readers with each step; failed calls back off. A node that knows no list finds others through reads that may be old (serializable), which never become the list in force. The grace for entries that lapsed while the store was away travels with the list.

--- a/coltsfootd/directory/address.go
+++ b/coltsfootd/directory/address.go
@@ -9,30 +9,79 @@
 	"coltsfootusher.example/core/vm"
 )
 
-// addresses returns the peer addresses listed in the own failure domain and in the others. All nodes sort them alike, by hash,
-// so that neighbours in the address range don't share a rank in each domain.
-func addresses(vms []vm.VM, domain string) (neighbours []string, others map[string][]string) {
-	byDomain := map[string]map[string]bool{domain: {}}
+// Nodes are the peer addresses of the listed nodes. All nodes of a fleet sort them alike, by hash, so that neighbours in the
+// address range don't share a rank in each domain.
+type Nodes struct {
+	// All are the addresses of all failure domains, Neighbours those of the own one, with this node's own if it is listed.
+	All        []string
+	Neighbours []string
+	// Others are those of each other domain.
+	Others map[string][]string
+}
+
+// nodesOf returns the nodes beside the targets, as seen from a failure domain.
+func nodesOf(vms []vm.VM, domain string) Nodes {
+	domainOf := make(map[string]string, len(vms))
 	for _, v := range vms {
-		if byDomain[v.FailureDomain] == nil {
-			byDomain[v.FailureDomain] = make(map[string]bool)
+		domainOf[v.PeerAddress] = v.FailureDomain
+	}
+	n := Nodes{Others: make(map[string][]string)}
+	for address := range domainOf {
+		n.All = append(n.All, address)
+	}
+	slices.SortFunc(n.All, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	for _, address := range n.All {
+		if other := domainOf[address]; other != domain {
+			n.Others[other] = append(n.Others[other], address)
+			continue
 		}
-		byDomain[v.FailureDomain][v.PeerAddress] = true
+		n.Neighbours = append(n.Neighbours, address)
 	}
-	others = make(map[string][]string)
-	for name, set := range byDomain {
-		sorted := make([]string, 0, len(set))
-		for address := range set {
-			sorted = append(sorted, address)
+	return n
+}
+
+// rank returns the place of the address among the nodes that can be used; it is the last one if the address is not listed.
+func (n Nodes) rank(address string, usable func(address string) bool) int {
+	rank := 0
+	for _, other := range n.All {
+		if other == address {
+			return rank
 		}
-		slices.SortFunc(sorted, func(a, b string) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-		})
-		if name == domain {
-			neighbours = sorted
-			continue
+		if usable(other) {
+			rank++
+		}
+	}
+	return max(1, rank)
+}
+
+// first returns the first address that can be used, or "".
+func first(addresses []string, usable func(address string) bool) string {
+	i := slices.IndexFunc(addresses, usable)
+	if i < 0 {
+		return ""
+	}
+	return addresses[i]
+}
+
+// upstreams returns up to count nodes from which the node at the address gets news: the first ones of the fleet if it is the
+// first of its domain, else the first ones of its domain.
+func (n Nodes) upstreams(address string, count int, usable func(address string) bool) []string {
+	from := n.Neighbours
+	if n.leads(address, usable) {
+		from = n.All
+	}
+	var chosen []string
+	for _, other := range from {
+		if len(chosen) < count && other != address && usable(other) {
+			chosen = append(chosen, other)
 		}
-		others[name] = sorted
 	}
-	return neighbours, others
+	return chosen
+}
+
+// leads reports whether the address is the first of its failure domain, which passes news on to the others.
+func (n Nodes) leads(address string, usable func(address string) bool) bool {
+	return first(n.Neighbours, func(other string) bool { return other == address || usable(other) }) == address
 }
--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -26,33 +24,18 @@
 const (
 	tickInterval = 50 * time.Millisecond
 	eventQueue   = 256
-	// readTimeout leaves room for a platform that answers many times slower than usual.
-	readTimeout = 900 * time.Millisecond
-	// readRetryMs is the pause after a read that failed.
-	readRetryMs clock.Millis = 150
-	// unpublishedRetryMs is the pause after a read that found no policy yet. All nodes of a new fleet wait for the first.
-	unpublishedRetryMs clock.Millis = 600
-	// watchWaitMs is the time that the platform may hold a watch.
-	watchWaitMs clock.Millis = 15_000
-	watchGrace               = 2 * time.Second
-	watchRetry               = 250 * time.Millisecond
-	// watchPause gathers changes that come in quick succession into one call.
-	watchPause = 100 * time.Millisecond
-	// relistMs is how often a reader reads the whole list of targets, in case a watch has gone deaf.
-	relistMs clock.Millis = 3000
-	// readerMs is the time after its last own read for which a node watches the platform although another is to read it.
-	readerMs    clock.Millis = 3000
-	askTimeout               = 300 * time.Millisecond
-	askRetryMs  clock.Millis = 100
-	pushTimeout              = 400 * time.Millisecond
+	// platformSource names the platform as the source of values in log lines.
+	platformSource = "platform"
 )
 
 // schedule refreshes the confirmation early enough for several failed tries within a lease of a few seconds.
-var schedule = freshness.Schedule{ReadEveryMs: 1000, AskEveryMs: 700, TakeoverMs: 1700, RankStepMs: 200}
+var schedule = freshness.Schedule{ReadEveryMs: 1000, AskEveryMs: 700, TakeoverMs: 1900, RankStepMs: 250}
 
 // Source reads what the platform publishes.
 type Source interface {
 	Policy(ctx context.Context) (published.Policy, error)
+	// Contacts returns the entries of a list that may be seconds old. It costs the platform little.
+	Contacts(ctx context.Context) ([]vm.VM, error)
 	// Targets returns the whole list, and notes on entries that could not be used.
 	Targets(ctx context.Context) (roster.Delta, []error, error)
 	// WatchTargets waits for changes after the revision.
@@ -88,15 +71,12 @@
 // View is what traffic sees of the published values.
 type View struct {
 	*fleet.Snapshot
+	Nodes
 	PolicyVersion int64
 	KeysRequired  bool
 	// AccountsIncomplete is true if an unknown key may be that of an account whose row could not be read.
 	AccountsIncomplete bool
 	Bounds             published.CallerBounds
-	// Neighbours are the peer addresses listed in the own failure domain, with this node's own if it is listed, and Others
-	// those of each other domain.
-	Neighbours []string
-	Others     map[string][]string
 	// Ranking chooses the owners of the accounts' buckets among all listed nodes.
 	Ranking *quota.Ranking
 }
@@ -121,16 +101,25 @@
 	// listed is true once a list of targets was read.
 	listed bool
 
-	reading, asking     bool
-	readAfter, askAfter clock.Millis
-	lastRead            clock.Millis
-	asked               int
-	relistAt            clock.Millis
-	relisting           bool
-	platformLost        bool
-	stopWatch           context.CancelFunc
-	vouching            bool
-	vouchAt             clock.Millis
+	// contacts are the nodes of which this node has heard before it knows the list.
+	contacts     Nodes
+	seeking      bool
+	seekAfter    clock.Millis
+	contactsAt   clock.Millis
+	reading      bool
+	readAfter    clock.Millis
+	lastRead     clock.Millis
+	relisting    bool
+	relistAt     clock.Millis
+	asking       bool
+	askAfter     clock.Millis
+	asked        int
+	stopWatch    context.CancelFunc
+	vouching     bool
+	vouchAt      clock.Millis
+	failures     int
+	calls        platformCalls
+	platformLost bool
 }
 
 // New returns a directory that knows nothing yet.
@@ -193,116 +182,49 @@
 }
 
 func (d *Directory) tick(ctx context.Context, now clock.Millis) {
-	age := d.lease.Age(now)
-	rank := d.rank()
 	if d.roster.Expire(now) {
 		d.publish()
 	}
-	if !d.reading && now >= d.readAfter && (schedule.ReadDue(rank, age) || d.policy == nil) {
+	nodes := d.nodes()
+	rank := d.rank(nodes)
+	age := d.confirmationAge(now)
+	d.seekContacts(ctx, now)
+	readDue := schedule.ReadDue(rank, age) || rank == 0 && d.policy == nil
+	if len(nodes.All) > 0 && !d.reading && now >= d.readAfter && readDue {
 		d.startRead(ctx, now)
 	}
-	listedSelf := d.listedSelf()
-	acting := listedSelf && (rank == 0 || now < d.lastRead+readerMs)
-	if !d.relisting && now >= d.relistAt && (acting || !listedSelf) {
+	acting := slices.Contains(nodes.All, d.Address) && (rank == 0 || now < d.lastRead+readerMs)
+	if acting && !d.relisting && now >= d.relistAt {
 		d.startRelist(ctx, now)
 	}
 	d.vouch(ctx, now)
 	d.watch(ctx, acting)
-	if !d.asking && now >= d.askAfter && schedule.AskDue(rank, age) {
-		d.startAsk(ctx, now)
+	// A node that has just started asks at once.
+	askDue := schedule.AskDue(rank, age) || rank > 0 && d.view.Load() == nil
+	if len(nodes.All) > 0 && !d.asking && now >= d.askAfter && askDue {
+		d.startAsk(ctx, nodes, now)
 	}
 }
 
-// listedSelf reports whether the list shows this node. In a new fleet the list is empty at first; if all nodes acted as
-// readers then, each would watch all targets register one by one.
-func (d *Directory) listedSelf() bool {
-	v := d.view.Load()
-	return v != nil && slices.Contains(v.Neighbours, d.Address)
-}
-
-// rank returns the place of this node among those of its failure domain: the first while none is known, the last for a
-// node that is not listed.
-func (d *Directory) rank() int {
-	v := d.view.Load()
-	if v == nil {
-		return 0
-	}
-	if i := slices.Index(v.Neighbours, d.Address); i >= 0 {
-		return i
-	}
-	return len(v.Neighbours)
-}
-
-func (d *Directory) startRead(ctx context.Context, now clock.Millis) {
-	d.reading = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		p, err := d.Source.Policy(ctx)
-		d.post(func(done clock.Millis) { d.finishRead(p, err, now, done) })
-	}()
-}
-
-func (d *Directory) finishRead(p published.Policy, err error, sentAt, now clock.Millis) {
-	d.reading = false
-	if errors.Is(err, published.ErrNoPolicy) {
-		d.readAfter = now + unpublishedRetryMs
-		return
-	}
-	if errors.Is(err, published.ErrUnreadable) {
-		d.platformAnswered(now)
-		d.readAfter = now + unpublishedRetryMs
-		d.policyUnreadable(err)
-		return
+// nodes returns the nodes of the list in force or, before it is known, those of which this node has heard.
+func (d *Directory) nodes() Nodes {
+	if v := d.view.Load(); v != nil {
+		return v.Nodes
 	}
-	if err != nil {
-		d.readAfter = now + readRetryMs
-		d.platformFailed("policy", err)
-		return
-	}
-	d.lastRead = now
-	d.platformAnswered(now)
-	d.applyPolicy(p, "platform")
-	d.confirm(p.Version, sentAt, "platform")
-}
-
-func (d *Directory) startRelist(ctx context.Context, now clock.Millis) {
-	d.relisting = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		delta, notes, err := d.Source.Targets(ctx)
-		d.post(func(done clock.Millis) {
-			d.relisting = false
-			d.relistAt = now + relistMs
-			if err != nil {
-				d.relistAt = done + readRetryMs
-				d.platformFailed("targets", err)
-				return
-			}
-			d.platformAnswered(done)
-			d.applyTargets(delta, notes, "platform", done)
-		})
-	}()
+	return d.contacts
 }
 
-// platformFailed logs the loss of the platform once.
-func (d *Directory) platformFailed(what string, err error) {
-	d.roster.PublisherLost()
-	if d.platformLost {
-		return
-	}
-	d.platformLost = true
-	_ = level.Warn(d.Logger).Log("msg", "platform does not answer", "read", what, "err", err,
-		"confirmationAgeMs", int64(d.Age()))
+// rank returns the place of this node in the order in which nodes read the platform.
+func (d *Directory) rank(nodes Nodes) int {
+	return nodes.rank(d.Address, d.Peers.Usable)
 }
 
-func (d *Directory) platformAnswered(now clock.Millis) {
-	d.roster.PublisherReached(now)
-	if d.platformLost {
-		d.platformLost = false
-		_ = level.Info(d.Logger).Log("msg", "platform answers again")
+// confirmationAge returns the time since the policy was confirmed or, if it never was, since this node heard of others.
+func (d *Directory) confirmationAge(now clock.Millis) clock.Millis {
+	if age := d.lease.Age(now); age != clock.Never {
+		return age
 	}
+	return now - d.contactsAt
 }
 
 // policyUnreadable logs once that the newest policy can't be read. The one in force holds until its lease ends, since the
@@ -315,10 +237,11 @@
 		"err", err, "confirmationAgeMs", int64(d.Age()))
 }
 
-// Publish makes the state of the policy visible among the metrics.
+// Publish makes the state of the policy and the calls to the platform visible among the metrics.
 func (d *Directory) Publish(metrics *expvar.Map) {
 	metrics.Set("policyRowsUnusable", expvar.Func(func() any { return d.problems.Load() }))
 	metrics.Set("policyUnreadable", expvar.Func(func() any { return d.unreadable.Load() }))
+	metrics.Set("platformCalls", expvar.Func(d.calls.counts))
 }
 
 // applyPolicy puts a newer policy into force and reports whether it was newer.
@@ -340,15 +263,21 @@
 			"row", problem.Row, "err", problem.Err)
 	}
 	d.publish()
-	if source == "platform" {
-		d.push(syncMessage{Policy: &p})
-	}
+	d.spread(source, syncMessage{Policy: &p})
 	return true
 }
 
+// version returns that of the policy in force, 0 before the first one.
+func (d *Directory) version() int64 {
+	if d.policy == nil {
+		return 0
+	}
+	return d.policy.Version
+}
+
 // confirm extends the lease if version is the one in force.
 func (d *Directory) confirm(version int64, at clock.Millis, source string) {
-	if d.policy == nil || version != d.policy.Version {
+	if version != d.version() {
 		_ = level.Warn(d.Logger).Log("msg", "confirmation of another version ignored", "version", version, "source", source)
 		return
 	}
@@ -371,8 +300,10 @@
 		return
 	}
 	d.publish()
-	if source == "platform" && len(news) > 0 {
-		d.push(syncMessage{Roster: &roster.Delta{Base: base, Revision: d.roster.Revision(), Changes: news}})
+	if len(news) > 0 {
+		d.spread(source, syncMessage{Roster: &roster.Delta{
+			Base: base, Revision: d.roster.Revision(), Changes: news, LapseGraceMs: d.roster.LapseGrace(now),
+		}})
 	}
 }
 
@@ -400,16 +331,15 @@
 	}
 	vms := d.roster.VMs()
 	v := &View{
-		Snapshot:      d.snapshot(vms),
+		Snapshot: d.snapshot(vms), Nodes: nodesOf(vms, d.FailureDomain),
 		PolicyVersion: d.policy.Version, KeysRequired: d.policy.KeysRequired, Bounds: d.policy.Bounds,
 		AccountsIncomplete: d.policy.AccountsIncomplete,
 	}
-	v.Neighbours, v.Others = addresses(vms, d.FailureDomain)
-	listed := make(map[string]bool)
-	for _, other := range vms {
-		listed[other.PeerAddress] = true
+	v.Ranking = quota.NewRanking(v.All)
+	listed := make(map[string]bool, len(v.All))
+	for _, address := range v.All {
+		listed[address] = true
 	}
-	v.Ranking = quota.NewRanking(slices.Collect(maps.Keys(listed)))
 	d.Peers.Keep(listed)
 	d.view.Store(v)
 }
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -18,7 +20,12 @@
 	LeavePath = "/coltsfoot/leave"
 )
 
-const maxMessageBytes = 16 << 20
+const (
+	maxMessageBytes              = 16 << 20
+	askTimeout                   = 300 * time.Millisecond
+	askRetryMs      clock.Millis = 200
+	pushTimeout                  = 400 * time.Millisecond
+)
 
 // syncMessage is a request and a reply: what the sender knows, and what the receiver lacks.
 type syncMessage struct {
@@ -43,10 +50,7 @@
 
 // self returns what this node knows, without the values.
 func (d *Directory) self(now clock.Millis) syncMessage {
-	m := syncMessage{From: d.Address, Incarnation: d.Incarnation, AgeMs: -1}
-	if d.policy != nil {
-		m.PolicyVersion = d.policy.Version
-	}
+	m := syncMessage{From: d.Address, Incarnation: d.Incarnation, AgeMs: -1, PolicyVersion: d.version()}
 	if d.listed {
 		m.Revision = d.roster.Revision()
 	}
@@ -57,8 +61,8 @@
 }
 
 // startAsk asks a peer for a newer confirmation and newer values.
-func (d *Directory) startAsk(ctx context.Context, now clock.Millis) {
-	address := d.nextPeer()
+func (d *Directory) startAsk(ctx context.Context, nodes Nodes, now clock.Millis) {
+	address := d.nextPeer(nodes)
 	if address == "" {
 		d.askAfter = now + askRetryMs
 		return
@@ -72,30 +76,19 @@
 	}()
 }
 
-// nextPeer returns the node to ask: the first ranks of the own failure domain, and nodes of all domains by chance while
-// that brings nothing newer.
-func (d *Directory) nextPeer() string {
-	v := d.view.Load()
-	if v == nil {
-		return ""
+// nextPeer returns the node to ask: the first ones upstream, and nodes of all domains by chance while those bring nothing
+// newer.
+func (d *Directory) nextPeer(nodes Nodes) string {
+	const firstUpstreams = 2
+	if upstreams := nodes.upstreams(d.Address, firstUpstreams, d.Peers.Usable); d.asked < len(upstreams) {
+		return upstreams[d.asked]
 	}
-	const firstRanks = 2
 	var candidates []string
-	for _, address := range v.Neighbours {
+	for _, address := range nodes.All {
 		if address != d.Address && d.Peers.Reachable(address) {
 			candidates = append(candidates, address)
 		}
 	}
-	if d.asked < min(firstRanks, len(candidates)) {
-		return candidates[d.asked]
-	}
-	for _, other := range v.Others {
-		for _, address := range other {
-			if d.Peers.Reachable(address) {
-				candidates = append(candidates, address)
-			}
-		}
-	}
 	if len(candidates) == 0 {
 		return ""
 	}
@@ -104,7 +97,6 @@
 
 func (d *Directory) finishAsk(address string, reply syncMessage, err error, sentAt, now clock.Millis) {
 	d.asking = false
-	before := d.lease.Age(now)
 	if err == nil {
 		d.apply(reply, address, now)
 		if reply.AgeMs >= 0 {
@@ -112,9 +104,9 @@
 			d.confirmFrom(reply, sentAt, address)
 		}
 	}
-	if err == nil && (schedule.AskEveryMs > d.lease.Age(now) || d.lease.Age(now) < before) {
+	if err == nil && reply.PolicyVersion == d.version() && reply.AgeMs >= 0 && reply.AgeMs < schedule.TakeoverMs {
 		d.asked = 0
-		d.askAfter = now + min(schedule.AskEveryMs, max(askRetryMs, schedule.AskEveryMs-d.lease.Age(now)))
+		d.askAfter = now + schedule.AskAfter(reply.AgeMs)
 		return
 	}
 	d.asked++
@@ -122,7 +114,7 @@
 }
 
 func (d *Directory) confirmFrom(reply syncMessage, sentAt clock.Millis, address string) {
-	if d.policy != nil && reply.PolicyVersion == d.policy.Version {
+	if reply.PolicyVersion == d.version() {
 		d.confirm(reply.PolicyVersion, sentAt-reply.AgeMs, address)
 	}
 }
@@ -140,30 +132,29 @@
 	}
 }
 
-// push sends news to the other nodes of the own failure domain and to the first nodes of the others.
-func (d *Directory) push(m syncMessage) {
-	v := d.view.Load()
-	if v == nil {
+// spread passes news on. The node that has it from the platform sends it to its own failure domain and to the first node of
+// each other one; that node sends what comes from elsewhere to its own domain.
+func (d *Directory) spread(source string, m syncMessage) {
+	nodes := d.nodes()
+	fromPlatform := source == platformSource
+	if !fromPlatform && (slices.Contains(nodes.Neighbours, source) || !nodes.leads(d.Address, d.Peers.Usable)) {
 		return
 	}
 	m.From, m.Incarnation, m.AgeMs = d.Address, d.Incarnation, -1
-	d.broadcast(v.Neighbours, SyncPath, m)
-	const firstRanks = 1
-	for _, other := range v.Others {
-		d.broadcast(other[:min(firstRanks, len(other))], SyncPath, m)
+	d.broadcast(nodes.Neighbours, SyncPath, m)
+	if !fromPlatform {
+		return
+	}
+	for _, other := range nodes.Others {
+		if leader := first(other, d.Peers.Usable); leader != "" {
+			d.broadcast([]string{leader}, SyncPath, m)
+		}
 	}
 }
 
 // announce sends a message to all known nodes.
 func (d *Directory) announce(path string, message any) {
-	v := d.view.Load()
-	if v == nil {
-		return
-	}
-	d.broadcast(v.Neighbours, path, message)
-	for _, other := range v.Others {
-		d.broadcast(other, path, message)
-	}
+	d.broadcast(d.nodes().All, path, message)
 }
 
 // AnnouncePresence tells the other nodes that this one has started.
@@ -176,19 +167,33 @@
 	d.announce(LeavePath, LeaveMessage{From: d.Address, Incarnation: d.Incarnation})
 }
 
+// broadcast sends a message to the nodes that can be reached, a second time to those that did not take it.
 func (d *Directory) broadcast(addresses []string, path string, message any) {
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		_ = level.Error(d.Logger).Log("msg", "message can't be encoded", "path", path, "err", err)
+		return
+	}
 	for _, address := range addresses {
 		if address == d.Address || !d.Peers.Reachable(address) {
 			continue
 		}
 		go func() {
-			if err := d.Peers.Call(context.Background(), address, path, pushTimeout, message, nil); err != nil {
+			err := d.tell(address, path, encoded)
+			if err != nil {
+				err = d.tell(address, path, encoded)
+			}
+			if err != nil {
 				_ = level.Debug(d.Logger).Log("msg", "peer was not told", "peer", address, "path", path, "err", err)
 			}
 		}()
 	}
 }
 
+func (d *Directory) tell(address, path string, encoded json.RawMessage) error {
+	return d.Peers.Call(context.Background(), address, path, pushTimeout, encoded, nil)
+}
+
 // ServeSync answers a node that asks or tells.
 func (d *Directory) ServeSync(w http.ResponseWriter, r *http.Request) {
 	var m syncMessage
@@ -225,6 +230,7 @@
 	}
 	if d.listed && m.Revision < d.roster.Revision() {
 		delta := d.roster.Since(m.Revision)
+		delta.LapseGraceMs = d.roster.LapseGrace(now)
 		own.Roster = &delta
 	}
 	return own
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -93,6 +93,15 @@
 	return s.policy, nil
 }
 
+func (s *memorySource) Contacts(ctx context.Context) ([]vm.VM, error) {
+	delta, _, err := s.Targets(ctx)
+	var vms []vm.VM
+	for _, c := range delta.Changes {
+		vms = append(vms, *c.VM)
+	}
+	return vms, err
+}
+
 func (s *memorySource) Targets(context.Context) (roster.Delta, []error, error) {
 	if s.away.Load() {
 		return roster.Delta{}, nil, errAway
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -1,6 +1,10 @@
 package freshness
 
-import "coltsfootusher.example/core/clock"
+import (
+	"math/bits"
+
+	"coltsfootusher.example/core/clock"
+)
 
 // Lease says until when a node may act on published state that it can't verify at the moment.
 //
@@ -40,28 +44,36 @@
 
 // Schedule decides when a node refreshes its lease and from whom.
 //
-// The nodes of a failure domain are ranked. The first reads the platform itself, the others ask it; each further rank
-// reads the platform when the confirmations that it gets from its peers have become old, so that a reader that fails is
-// replaced without an election.
+// The nodes of a fleet that reach each other are ranked. The first reads the platform, the first of each failure domain asks
+// it, and the others ask the first of their domain. Further ranks read the platform when the confirmations that they get
+// have become old, so that a reader that fails is replaced without an election: first one node, then twice as many with
+// each step.
 type Schedule struct {
 	// ReadEveryMs is the age of the confirmation at which the first rank reads the platform.
 	ReadEveryMs clock.Millis
 	// AskEveryMs is the age at which the other ranks ask a peer.
 	AskEveryMs clock.Millis
-	// TakeoverMs is the age at which the second rank reads the platform; each further rank waits RankStepMs more.
+	// TakeoverMs is the age at which the second rank reads the platform; each doubling of the rank adds RankStepMs.
 	TakeoverMs clock.Millis
 	RankStepMs clock.Millis
 }
 
-// maxRankSteps bounds the wait of the last ranks, since each of them must read the platform before its lease ends.
-const maxRankSteps = 5
+const (
+	// maxRankSteps bounds the wait of the last ranks, since each of them must read the platform before its lease ends.
+	maxRankSteps = 8
+	// refreshSlackMs is the time that a confirmation needs from the platform through the first rank.
+	refreshSlackMs clock.Millis = 100
+	// minAskMs is the shortest pause between two questions.
+	minAskMs clock.Millis = 100
+)
 
 // ReadDue reports whether the node of the rank reads the platform now; a rank below 0 counts as the first.
 func (s Schedule) ReadDue(rank int, age clock.Millis) bool {
 	if rank <= 0 {
 		return age >= s.ReadEveryMs
 	}
-	return age >= s.TakeoverMs+clock.Millis(min(rank-1, maxRankSteps))*s.RankStepMs
+	steps := min(bits.Len(uint(rank))-1, maxRankSteps)
+	return age >= s.TakeoverMs+clock.Millis(steps)*s.RankStepMs
 }
 
 // AskDue reports whether the node of the rank asks a peer now. The first rank asks only when its own reads fail.
@@ -71,3 +83,9 @@
 	}
 	return age >= s.AskEveryMs
 }
+
+// AskAfter returns the pause after a question that brought a confirmation of an age: the next one is there when the first
+// rank has read the platform again.
+func (s Schedule) AskAfter(age clock.Millis) clock.Millis {
+	return max(minAskMs, s.ReadEveryMs+refreshSlackMs-age)
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -37,6 +37,9 @@
 	// Whole is true if the changes are the complete list, so that all other entries are gone.
 	Whole   bool     `json:"whole,omitempty"`
 	Changes []Change `json:"changes,omitempty"`
+	// LapseGraceMs is the time for which entries that the delta removes are still used, because the publisher was away until
+	// a short while ago.
+	LapseGraceMs clock.Millis `json:"lapseGraceMs,omitempty"`
 }
 
 type entry struct {
@@ -83,8 +86,17 @@
 	}
 }
 
+// LapseGrace returns the time left for entries that lapsed during an absence of the publisher to be written again.
+func (r *Roster) LapseGrace(now clock.Millis) clock.Millis {
+	return max(0, r.regainedAt+LapseGraceMs-now)
+}
+
 // Apply takes a delta and returns the changes that were news.
 func (r *Roster) Apply(d Delta, now clock.Millis) []Change {
+	if d.LapseGraceMs > 0 {
+		grace := min(d.LapseGraceMs, LapseGraceMs)
+		r.regainedAt = max(r.regainedAt, now+grace-LapseGraceMs)
+	}
 	var news []Change
 	listed := make(map[string]bool, len(d.Changes))
 	for _, c := range d.Changes {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -132,3 +132,25 @@
 	r.Expire(roster.UnlistedGraceMs)
 	assert.Equal(t, names(r), "old:live ")
 }
+
+// Guards against targets that are dropped because their entries lapsed while the platform was away, at nodes that learn of
+// it from another node.
+func TestGraceAfterAnAbsenceIsPassedOn(t *testing.T) {
+	reader, other := roster.New(), roster.New()
+	live := roster.Change{Name: "a", Revision: 1, VM: &vm.VM{Name: "a", State: vm.Live, TargetAddress: "1:1"}}
+	for _, r := range []*roster.Roster{reader, other} {
+		r.Apply(roster.Delta{Whole: true, Revision: 1, Changes: []roster.Change{live}}, 0)
+	}
+	reader.PublisherLost()
+	reader.PublisherReached(10_000)
+	lapsed := roster.Delta{Base: 1, Revision: 2, Changes: []roster.Change{{Name: "a", Revision: 2}}}
+	reader.Apply(lapsed, 10_000)
+	lapsed.LapseGraceMs = reader.LapseGrace(10_100)
+	other.Apply(lapsed, 10_100)
+	for _, r := range []*roster.Roster{reader, other} {
+		r.Expire(10_000 + roster.LapseGraceMs - 1)
+		assert.Equal(t, len(r.VMs()), 1)
+		r.Expire(10_000 + roster.LapseGraceMs)
+		assert.Equal(t, len(r.VMs()), 0)
+	}
+}
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -59,7 +59,7 @@
 	return fmt.Sprintf("%s:%d", v.ip, port)
 }
 
-func (v *vm) writeSettings(domains []string) error {
+func (v *vm) writeSettings() error {
 	settings := map[string]any{
 		"nodeName": v.name, "failureDomain": v.domain, "service": v.service,
 		"entryAddress": v.address(entryPort), "peerAddress": v.address(peerPort), "peerListenAddress": v.address(peerListenPort),
