Bound what a target or peer can make a node read

Cause: the client for targets and peers read response heads, informational responses and responses to other requests without a bound. The issue measured 789 MB of heap after one head; a node has 184 MB.

Change: a head with its informational responses is at most 64 KiB (96 KiB between nodes), at most 8 informational responses, a skipped response at most 256 KiB. Beyond that the connection is closed, the request ends as one that may have run (502 answerOversized), and the target counts as failed for the choice. Control messages are at most 4 MiB in both directions; the store's response heads 64 KiB; a body sent by another node has the request's deadline. The connection of a response that names no request is not used again. A failed probe no longer leaks its connection when the answer is long.

--- a/coltsfootd/cmd/mesh.go
+++ b/coltsfootd/cmd/mesh.go
@@ -24,6 +24,7 @@
 	platformDialTimeout = 500 * time.Millisecond
 	platformKeepAlive   = time.Second
 	platformIdleConns   = 4
+	platformHeadBytes   = 64 << 10
 
 	// meshGCPercent keeps the heap small: the node shares its VM with the target.
 	meshGCPercent = 100
@@ -80,5 +81,6 @@
 	}}
 	return &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: platformIdleConns, DisableCompression: true,
+		MaxResponseHeaderBytes: platformHeadBytes,
 	}
 }
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"coltsfootusher.example/coltsfootd/peers"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/roster"
@@ -21,10 +22,9 @@
 )
 
 const (
-	maxMessageBytes              = 16 << 20
-	askTimeout                   = 300 * time.Millisecond
-	askRetryMs      clock.Millis = 200
-	pushTimeout                  = 400 * time.Millisecond
+	askTimeout               = 300 * time.Millisecond
+	askRetryMs  clock.Millis = 200
+	pushTimeout              = 400 * time.Millisecond
 )
 
 // syncMessage is a request and a reply: what the sender knows, and what the receiver lacks.
@@ -197,7 +197,7 @@
 // ServeSync answers a node that asks or tells.
 func (d *Directory) ServeSync(w http.ResponseWriter, r *http.Request) {
 	var m syncMessage
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&m); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, peers.MaxMessageBytes)).Decode(&m); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -239,7 +239,7 @@
 // ServeLeave records that a peer takes no new work.
 func (d *Directory) ServeLeave(w http.ResponseWriter, r *http.Request) {
 	var m LeaveMessage
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&m); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, peers.MaxMessageBytes)).Decode(&m); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -239,7 +239,8 @@
 // failedTarget reports whether the reply speaks against the target or its node.
 func failedTarget(r dispatch.Reply) bool {
 	switch r.Reason {
-	case call.ReasonNodeUnreachable, call.ReasonNoTarget, call.ReasonTargetDown, call.ReasonTargetFailed, call.ReasonAnswerMismatch:
+	case call.ReasonNodeUnreachable, call.ReasonNoTarget, call.ReasonTargetDown, call.ReasonTargetFailed,
+		call.ReasonAnswerMismatch, call.ReasonAnswerOversized:
 		return true
 	default:
 		return r.ShedByTarget
--- a/coltsfootd/localtarget/handler.go
+++ b/coltsfootd/localtarget/handler.go
@@ -3,11 +3,13 @@
 import (
 	"math"
 	"net/http"
+	"time"
 
 	"coltsfootusher.example/coltsfootd/body"
 	"coltsfootusher.example/coltsfootd/drain"
 	"coltsfootusher.example/coltsfootd/message"
 	"coltsfootusher.example/coltsfootd/upstream"
+	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/dispatch"
 )
 
@@ -21,12 +23,26 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if request.ContentLength != 0 {
+		// A body that doesn't end must not hold the connection longer than somebody waits for the answer.
+		late := time.Now().Add(c.TimeoutMs.Duration())
+		if err := http.NewResponseController(w).SetReadDeadline(late); err != nil {
+			r.writeReply(w, refuse(call.ReasonInternal), nil)
+			return
+		}
+	}
 	received, err := r.Bodies.Read(request.Body, request.ContentLength, maxBodyBytes)
 	if err != nil {
 		r.writeReply(w, refuse(body.Reason(request.Context(), err)), nil)
 		return
 	}
 	defer received.Release()
+	if request.ContentLength != 0 {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+			r.writeReply(w, refuse(call.ReasonInternal), nil)
+			return
+		}
+	}
 	request.Header.Del(dispatch.ContextHeader)
 	if r.Sockets.Short() {
 		w.Header().Set("Connection", "close")
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -240,6 +240,8 @@
 		reply.Reason = call.ReasonDeadlineExceeded
 	case ctx.Err() != nil:
 		reply.Reason = call.ReasonCallerGone
+	case errors.Is(err, upstream.ErrOversized):
+		reply.Reason = call.ReasonAnswerOversized
 	case errors.Is(err, syscall.ECONNREFUSED):
 		reply.Reason = call.ReasonTargetDown
 	}
--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -29,6 +29,8 @@
 	maxIdle = 8
 	// bufferBytes is the part of a response that is read before it is passed on.
 	bufferBytes = 64 << 10
+	// maxHeadBytes has room for the head of a target's response and what its node adds.
+	maxHeadBytes = 96 << 10
 
 	checkInterval = 100 * time.Millisecond
 	// probeInterval is how often a node that can't be reached, or leaves, is asked whether it is back.
@@ -108,7 +110,7 @@
 	if p == nil {
 		p = &Peer{table: t, calls: make(map[uint64]flight), pool: upstream.New(address, upstream.Settings{
 			Source: t.source, DialTimeout: dialTimeout, SilenceLimit: silenceLimit, IdleLimit: idleLimit,
-			MaxIdle: maxIdle, BufferBytes: bufferBytes, Sockets: t.sockets,
+			MaxIdle: maxIdle, MaxHeadBytes: maxHeadBytes, BufferBytes: bufferBytes, Sockets: t.sockets,
 		})}
 		t.peers[address] = p
 	}
@@ -318,6 +320,7 @@
 	var pong Pong
 	if err == nil {
 		err = json.Unmarshal(response.Body, &pong)
+		response.Close()
 	}
 	if err != nil {
 		p.setDown(err)
--- a/coltsfootd/peers/rpc.go
+++ b/coltsfootd/peers/rpc.go
@@ -14,6 +14,9 @@
 // Error is the class of errors of control messages.
 var Error = errs.Class("peers")
 
+// MaxMessageBytes bounds a control message: a policy and a list of the largest fleets, with room to grow.
+const MaxMessageBytes = 4 << 20
+
 // Call posts a control message to the peer at the address and decodes the reply into reply, unless that is nil.
 func (t *Table) Call(ctx context.Context, address, path string, timeout time.Duration, message, reply any) error {
 	body, err := json.Marshal(message)
@@ -36,7 +39,7 @@
 	if reply == nil {
 		return nil
 	}
-	body, err = response.Whole()
+	body, err = response.Whole(MaxMessageBytes)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- /dev/null
+++ b/coltsfootd/upstream/bound_test.go
@@ -0,0 +1,137 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/coltsfootd/upstream"
+)
+
+// endless writes the beginning and then the chunk again and again until the caller closes.
+func endless(t *testing.T, beginning, chunk string) string {
+	t.Helper()
+	return serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, beginning)
+		block := strings.Repeat(chunk, 1+(64<<10)/len(chunk))
+		for err == nil {
+			_, err = io.WriteString(c, block)
+		}
+	})
+}
+
+// endlessResponses are responses that do not end, each with the part after which the same bytes come for ever.
+var endlessResponses = map[string]struct{ beginning, chunk string }{
+	"header":        {"HTTP/1.1 200 OK\r\nId: 1\r\nLong: ", "aaaaaaaaaaaaaaaa"},
+	"headers":       {"HTTP/1.1 200 OK\r\nId: 1\r\n", "Name: value\r\n"},
+	"status line":   {"HTTP/1.1 200 ", "OK OK OK OK"},
+	"no response":   {"", "x"},
+	"informational": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	"other body":    {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "some bytes"},
+	"other chunks":  {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"},
+	"others":        {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nbytes"},
+	"extension":     {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;", "ext=1;"},
+	"trailer":       {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "T: v\r\n"},
+}
+
+// Guards against a target that takes the process down with bytes without end: the request must end, as one that may have
+// run, without the bytes being kept.
+func TestResponseWithoutEndEndsTheRequest(t *testing.T) {
+	for name, response := range endlessResponses {
+		t.Run(name, func(t *testing.T) {
+			pool := newPool(endless(t, response.beginning, response.chunk))
+			// Far beyond what the bounds allow to be read: a request that ends by this deadline has no bound.
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			_, err := pool.Do(ctx, request("1"))
+			var failure *upstream.Failure
+			assert.Assert(t, errors.As(err, &failure), err)
+			assert.Assert(t, failure.Sent)
+			assert.NilError(t, ctx.Err())
+		})
+	}
+}
+
+// Guards against a node that runs out of memory beside forty targets that send bytes without end.
+func TestMemoryBesideManyEndlessResponses(t *testing.T) {
+	const (
+		targets = 40
+		// limitMB is half of the memory of the smallest VMs.
+		limitMB = 184 / 2
+	)
+	var peak uint64
+	done := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				peak = max(peak, m.HeapInuse)
+			}
+		}
+	})
+	var group sync.WaitGroup
+	for _, response := range endlessResponses {
+		for range targets / len(endlessResponses) {
+			pool := newPool(endless(t, response.beginning, response.chunk))
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				_, err := pool.Do(ctx, request("1"))
+				assert.Check(t, err != nil)
+			})
+		}
+	}
+	group.Wait()
+	close(done)
+	watch.Wait()
+	assert.Assert(t, peak < limitMB<<20, "%d bytes", peak)
+}
+
+// Guards against a body without end that is held in memory: a part is buffered, the rest waits for its reader, and a reader
+// with a limit ends it.
+func TestBodyWithoutEndIsNotHeld(t *testing.T) {
+	pool := newPool(endless(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "some bytes"))
+	response, err := pool.Do(context.Background(), request("1"))
+	assert.NilError(t, err)
+	defer response.Close()
+	assert.Assert(t, len(response.Body) <= 2<<10)
+	_, err = response.Whole(1 << 20)
+	assert.ErrorIs(t, err, upstream.ErrOversized)
+}
+
+// Guards against a late second response to a request without an id that is taken for the response to the next one.
+func TestConnectionOfAnUnnamedResponseIsNotUsedAgain(t *testing.T) {
+	address := serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno")
+		}
+	})
+	pool := newPool(address)
+	for range 2 {
+		response, err := pool.Do(context.Background(), &upstream.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+		assert.NilError(t, err)
+		assert.Equal(t, response.Status, http.StatusBadRequest)
+	}
+	assert.Equal(t, pool.Opened(), int64(2))
+}
--- a/coltsfootd/upstream/conn.go
+++ b/coltsfootd/upstream/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,10 +20,19 @@
 const (
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
-	// maxSkipped is the number of responses to other requests that are read past on one connection.
-	maxSkipped = 3
+	// maxSkipped is the number of responses to other requests that are read past on one connection, maxSkippedBytes the
+	// longest body of one of them.
+	maxSkipped            = 3
+	maxSkippedBytes int64 = 256 << 10
+	// maxInformational is the number of informational responses that may come before the final one.
+	maxInformational = 8
+	// defaultHeadBytes bounds a response head where the settings of a pool do not.
+	defaultHeadBytes int64 = 64 << 10
 )
 
+// unlimited allows any number of bytes. A body is bounded by its reader, which buffers a part and passes the rest on.
+const unlimited = math.MaxInt64
+
 // conn is one connection, used by one request at a time.
 type conn struct {
 	net.Conn
@@ -34,10 +45,15 @@
 	heard     *atomic.Int64
 	sockets   *socket.Budget
 	closing   sync.Once
+	// headBytes bounds each response head; left is what may be read before the response counts as oversized.
+	headBytes, left int64
 }
 
 func newConn(c net.Conn, s Settings, heard *atomic.Int64) *conn {
-	own := &conn{Conn: c, idleLimit: s.IdleLimit, heard: heard, sockets: s.Sockets}
+	own := &conn{
+		Conn: c, idleLimit: s.IdleLimit, heard: heard, sockets: s.Sockets, headBytes: cmp.Or(s.MaxHeadBytes, defaultHeadBytes),
+		left: unlimited,
+	}
 	own.reader = bufio.NewReaderSize(own, readBufferBytes)
 	own.writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return own
@@ -49,9 +65,14 @@
 	return c.Conn.Close()
 }
 
-// Read records the time of each byte that arrives, which shows that the other end is alive.
+// Read records the time of each byte that arrives, which shows that the other end is alive. The error is ErrOversized when
+// all bytes that are allowed at present have been read.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	if c.left <= 0 {
+		return 0, ErrOversized
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), c.left)])
+	c.left -= int64(n)
 	if n > 0 {
 		c.heard.Store(time.Now().UnixNano())
 	}
@@ -81,9 +102,11 @@
 			return nil, true, err
 		}
 		if echo == "" || response.Header.Get(echo) == r.Header.Get(echo) {
+			c.left = unlimited
 			return response, true, nil
 		}
 		// The response belongs to an earlier request on this connection; ours may still follow.
+		c.left = maxSkippedBytes
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, true, err
 		}
@@ -94,9 +117,10 @@
 	return nil, true, Error.New("%d responses that belong to other requests", maxSkipped)
 }
 
-// readResponse reads the next final response.
+// readResponse reads the head of the next final response. All heads before it count towards the bound.
 func (c *conn) readResponse(method string) (*http.Response, error) {
-	for {
+	c.left = c.headBytes
+	for range maxInformational + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -108,6 +132,7 @@
 			return nil, Error.New("unexpected status %d", response.StatusCode)
 		}
 	}
+	return nil, ErrOversized
 }
 
 // keepAliveLimit returns the idle time that the other end states, less a margin, or fallback.
--- a/coltsfootd/upstream/error.go
+++ b/coltsfootd/upstream/error.go
@@ -5,6 +5,10 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("upstream")
 
+// ErrOversized means that the receiver sent more than a response may have: a head without end, informational responses
+// without end, or a long response to another request.
+var ErrOversized = Error.New("the response is oversized")
+
 // Failure is an error with what it proves about the request.
 type Failure struct {
 	// Sent is true if a part of the request may have reached the receiver.
--- a/coltsfootd/upstream/message.go
+++ b/coltsfootd/upstream/message.go
@@ -62,13 +62,20 @@
 	}
 }
 
-// Whole returns the whole body, reading what was not buffered.
-func (r *Response) Whole() ([]byte, error) {
-	if r.Rest == nil {
-		return r.Body, nil
+// Whole returns the whole body, reading what was not buffered. The error is ErrOversized if it is longer than limit bytes.
+func (r *Response) Whole(limit int64) ([]byte, error) {
+	body := r.Body
+	if r.Rest != nil {
+		rest, err := io.ReadAll(io.LimitReader(r.Rest, max(0, limit-int64(len(body)))+1))
+		if err != nil {
+			return nil, err
+		}
+		body = append(body, rest...)
+	}
+	if int64(len(body)) > limit {
+		return nil, ErrOversized
 	}
-	rest, err := io.ReadAll(r.Rest)
-	return append(r.Body, rest...), err
+	return body, nil
 }
 
 // OnClose calls f after the rest of the body is closed, or at once if there is none.
--- a/coltsfootd/upstream/pool.go
+++ b/coltsfootd/upstream/pool.go
@@ -30,6 +30,8 @@
 	MaxIdle int
 	// EchoHeader names the request header that the receiver repeats in its response; empty if there is none.
 	EchoHeader string
+	// MaxHeadBytes bounds a response head with the informational responses before it; 0 means 64 KiB.
+	MaxHeadBytes int64
 	// BufferBytes is the part of a response that is buffered.
 	BufferBytes int64
 	// Sockets counts the connections.
@@ -131,7 +133,9 @@
 		answer.Rest = &rest{ReadCloser: response.Body, conn: c, stop: stop}
 		return answer, nil
 	}
-	if !stop() || ctx.Err() != nil {
+	// A late second response can't be told from the next one if neither names its request.
+	unnamed := p.settings.EchoHeader != "" && response.Header.Get(p.settings.EchoHeader) == ""
+	if !stop() || ctx.Err() != nil || unnamed {
 		_ = c.Close()
 		return answer, nil
 	}
--- a/core/call/reason.go
+++ b/core/call/reason.go
@@ -29,6 +29,7 @@
 	ReasonNodeUnreachable     Reason = "nodeUnreachable"
 	ReasonAnswerMismatch      Reason = "answerMismatch"
 	ReasonAnswerTruncated     Reason = "answerTruncated"
+	ReasonAnswerOversized     Reason = "answerOversized"
 	ReasonNotReady            Reason = "notReady"
 	ReasonConfirmTimeout      Reason = "confirmTimeout"
 	ReasonContextUnknown      Reason = "contextUnknown"
@@ -73,6 +74,7 @@
 	ReasonNodeUnreachable:     http.StatusBadGateway,
 	ReasonAnswerMismatch:      http.StatusBadGateway,
 	ReasonAnswerTruncated:     http.StatusBadGateway,
+	ReasonAnswerOversized:     http.StatusBadGateway,
 	ReasonNotReady:            http.StatusServiceUnavailable,
 	ReasonConfirmTimeout:      http.StatusServiceUnavailable,
 	ReasonContextUnknown:      http.StatusForbidden,
@@ -112,7 +114,8 @@
 func (r Reason) Retryable() bool {
 	switch r {
 	case ReasonOverloaded, ReasonQueueTimeout, ReasonLeaving, ReasonTargetDown, ReasonTargetFailed,
-		ReasonNodeUnreachable, ReasonAnswerMismatch, ReasonAnswerTruncated, ReasonNotReady, ReasonSuspectElsewhere:
+		ReasonNodeUnreachable, ReasonAnswerMismatch, ReasonAnswerTruncated, ReasonAnswerOversized, ReasonNotReady,
+		ReasonSuspectElsewhere:
 		return true
 	default:
 		return false
