Spread the probes of lost nodes

Cause: each node asked each lost one every 0.2 s whether it is back. With a domain of 40 cut off, or a whole fleet without power, probes grow with the square of the fleet.

Change: no more than one question in 50 ms, beyond 0.2 s for few lost nodes; when one of the lost is back, the others are asked soon.

--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -33,8 +33,10 @@
 	maxHeadBytes = 96 << 10
 
 	checkInterval = 100 * time.Millisecond
-	// probeInterval is how often a node that can't be reached, or leaves, is asked whether it is back.
+	// probeInterval is how often a node that can't be reached, or leaves, is asked whether it is back, if only few are. With
+	// many the interval grows so that no more than one question is sent in each probeSpacing.
 	probeInterval = 200 * time.Millisecond
+	probeSpacing  = 50 * time.Millisecond
 	probeTimeout  = 500 * time.Millisecond
 	// quietLimit is the time without a byte from a node that owes answers after which it is asked for a sign of life.
 	quietLimit = 300 * time.Millisecond
@@ -142,7 +144,7 @@
 		return
 	}
 	p.leaving = incarnation
-	p.probeAt = time.Now().Add(probeInterval)
+	p.probeAt = time.Now().Add(p.table.probePause())
 	_ = level.Info(t.logger).Log("msg", "peer is leaving", "peer", address, "incarnation", incarnation)
 }
 
@@ -330,14 +332,39 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.probing = false
-	p.probeAt = time.Now().Add(probeInterval)
+	p.probeAt = time.Now().Add(p.table.probePause())
+}
+
+// probePause returns the time between two questions to a node that is lost.
+func (t *Table) probePause() time.Duration {
+	return max(probeInterval, time.Duration(t.Lost())*probeSpacing)
+}
+
+// hurry lets the lost nodes be asked soon: one of them is back, and others may have been lost for the same reason.
+func (t *Table) hurry() {
+	soon := time.Now().Add(probeInterval)
+	for _, p := range t.all() {
+		p.mu.Lock()
+		if p.down && p.probeAt.After(soon) {
+			p.probeAt = soon
+		}
+		p.mu.Unlock()
+	}
 }
 
 func (p *Peer) alive(pong Pong) {
+	if p.noteAlive(pong) {
+		p.table.hurry()
+	}
+}
+
+// noteAlive takes the node's word that it is there and reports whether it was lost before.
+func (p *Peer) noteAlive(pong Pong) (wasLost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.aliveAt = time.Now()
-	changed := p.down
+	wasLost = p.down
+	changed := wasLost
 	if p.down {
 		p.table.changedAt.Store(int64(p.table.clock.Now()))
 	}
@@ -354,6 +381,7 @@
 		_ = level.Info(p.table.logger).Log("msg", "peer answers", "peer", p.pool.Address(), "incarnation", pong.Incarnation,
 			"leaving", p.leaving != 0)
 	}
+	return wasLost
 }
 
 // silent reports whether nothing came back, as from a machine without power or behind a partition.
@@ -367,7 +395,7 @@
 	defer p.mu.Unlock()
 	if !p.down {
 		p.table.changedAt.Store(int64(p.table.clock.Now()))
-		p.probeAt = time.Now().Add(probeInterval)
+		p.probeAt = time.Now().Add(p.table.probePause())
 		_ = level.Warn(p.table.logger).Log("msg", "peer can't be reached", "peer", p.pool.Address(), "calls", len(p.calls),
 			"err", cause)
 	}
--- /dev/null
+++ b/coltsfootd/peers/probe_test.go
@@ -0,0 +1,47 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/coltsfootd/socket"
+	"coltsfootusher.example/core/clock"
+)
+
+// loseMany returns a table that has lost a number of nodes.
+func loseMany(count int) *Table {
+	t := New("", clock.NewSystem(), socket.NewBudget(1000), log.NewNopLogger())
+	for i := range count {
+		t.Get(fmt.Sprintf("127.0.0.1:%d", i+1)).setDown(Error.New("refused"))
+	}
+	return t
+}
+
+// Load pattern: a failure domain is cut off, or all nodes of a fleet lose power. Guards against probes whose number grows
+// with the square of the fleet.
+func TestProbesOfManyLostNodesAreSpread(t *testing.T) {
+	for _, lost := range []int{1, 4, 39, 500} {
+		table := loseMany(lost)
+		assert.Equal(t, table.Lost(), lost)
+		perSecond := float64(lost) / table.probePause().Seconds()
+		assert.Assert(t, perSecond <= float64(time.Second/probeSpacing), "%d lost: %v probes a second", lost, perSecond)
+	}
+	assert.Equal(t, loseMany(4).probePause(), probeInterval)
+}
+
+// Guards against nodes that stay lost for long after a cut has healed because many were lost.
+func TestOneNodeThatIsBackHurriesTheProbesOfTheOthers(t *testing.T) {
+	table := loseMany(100)
+	p := table.Get("127.0.0.1:1")
+	other := table.Get("127.0.0.1:2")
+	other.probeAt = time.Now().Add(time.Hour)
+	table.Present("127.0.0.1:1", 7)
+	assert.Assert(t, !p.down)
+	assert.Equal(t, table.Lost(), 99)
+	assert.Assert(t, !other.needsProbe(time.Now()))
+	assert.Assert(t, other.needsProbe(time.Now().Add(probeInterval)))
+}
