Pass lists on without holes

Cause: a node passes on what was news to it. When it had heard of some entries early, through a push ahead of its own list, those were no news and the nodes of the other failure domains never learned of them.

Change: what is passed on is all that a roster at the former revision lacks. TestListThatIsPassedOnHasNoHoles fails when the news are passed on instead.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -301,9 +301,9 @@
 	}
 	d.publish()
 	if len(news) > 0 {
-		d.spread(source, syncMessage{Roster: &roster.Delta{
-			Base: base, Revision: d.roster.Revision(), Changes: news, LapseGraceMs: d.roster.LapseGrace(now),
-		}})
+		onward := d.roster.Onward(base, delta)
+		onward.LapseGraceMs = d.roster.LapseGrace(now)
+		d.spread(source, syncMessage{Roster: &onward})
 	}
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -220,6 +220,15 @@
 	return d
 }
 
+// Onward returns what other rosters at the revision base lack after the delta d was applied to this one at that revision.
+// It is not just what was news here: an entry that came early, ahead of its turn, is known here and may be unknown there.
+func (r *Roster) Onward(base int64, d Delta) Delta {
+	if r.revision <= base {
+		return d
+	}
+	return r.Since(base)
+}
+
 // VMs returns the entries in force, sorted by name. Of several entries with one address only that of the target which
 // started last counts: the entry of a target that crashed stays listed for a while.
 func (r *Roster) VMs() []vm.VM {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -154,3 +154,22 @@
 		assert.Equal(t, len(r.VMs()), 0)
 	}
 }
+
+// Guards against targets that the nodes of a failure domain never learn of: a node that heard of some of them early passes
+// on a list in which these are no news.
+func TestListThatIsPassedOnHasNoHoles(t *testing.T) {
+	reader, other := roster.New(), roster.New()
+	live := func(name string, revision int64) roster.Change {
+		return roster.Change{Name: name, Revision: revision, VM: &vm.VM{Name: name, State: vm.Live, TargetAddress: name + ":1"}}
+	}
+	reader.Apply(roster.Delta{Base: 50, Revision: 60, Changes: []roster.Change{live("early", 55)}}, 0)
+	base := reader.Revision()
+	whole := roster.Delta{Whole: true, Revision: 100, Changes: []roster.Change{live("early", 55), live("late", 90)}}
+	reader.Apply(whole, 0)
+	other.Apply(reader.Onward(base, whole), 0)
+	assert.Equal(t, other.Revision(), int64(100))
+	assert.Equal(t, len(other.VMs()), 2)
+	ahead := roster.Delta{Base: 120, Revision: 130, Changes: []roster.Change{live("next", 125)}}
+	reader.Apply(ahead, 0)
+	assert.DeepEqual(t, reader.Onward(100, ahead), ahead)
+}
