Tell starts and stops to the nodes around

Cause: each node told all others that it had started, 195 x 156 messages between domains; a node without news asked nodes of other domains by chance and got the whole list from them.

Change: starts and stops are told to the own domain and to the first two nodes of each other one; the rest learns them from probes and answers. A node without news asks its own domain first.

--- a/coltsfootd/directory/address.go
+++ b/coltsfootd/directory/address.go
@@ -81,6 +81,23 @@
 	return chosen
 }
 
+// around returns the nodes that are told of a node's start and stop: those of its own failure domain, which send it most of
+// its work, and the first ones of each other domain. The rest learns it from probes and answers: if each node told all
+// others, the messages of a fleet that starts would grow with its square.
+func (n Nodes) around(count int, usable func(address string) bool) []string {
+	told := slices.Clone(n.Neighbours)
+	for _, other := range n.Others {
+		firsts := 0
+		for _, address := range other {
+			if firsts < count && usable(address) {
+				told = append(told, address)
+				firsts++
+			}
+		}
+	}
+	return told
+}
+
 // leads reports whether the address is the first of its failure domain, which passes news on to the others.
 func (n Nodes) leads(address string, usable func(address string) bool) bool {
 	return first(n.Neighbours, func(other string) bool { return other == address || usable(other) }) == address
--- /dev/null
+++ b/coltsfootd/directory/address_test.go
@@ -0,0 +1,76 @@
+package directory
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/vm"
+)
+
+const (
+	testDomains = 5
+	testNodes   = 200
+)
+
+// testFleet returns the nodes of a fleet as each domain sees them.
+func testFleet() (vms []vm.VM, views map[string]Nodes) {
+	for i := range testNodes {
+		vms = append(vms, vm.VM{PeerAddress: fmt.Sprintf("10.%d.0.%d:7", i%testDomains, i), FailureDomain: fmt.Sprint(i % testDomains)})
+	}
+	views = make(map[string]Nodes)
+	for i := range testDomains {
+		views[fmt.Sprint(i)] = nodesOf(vms, fmt.Sprint(i))
+	}
+	return vms, views
+}
+
+func always(string) bool { return true }
+
+// Guards against a fleet in which several nodes, or none, read the platform.
+func TestOneNodeOfTheFleetIsFirst(t *testing.T) {
+	vms, views := testFleet()
+	var firsts []string
+	for _, v := range vms {
+		if views[v.FailureDomain].rank(v.PeerAddress, always) == 0 {
+			firsts = append(firsts, v.PeerAddress)
+		}
+	}
+	assert.Equal(t, len(firsts), 1)
+	assert.Assert(t, views["0"].rank("10.9.9.9:7", always) > 0, "a node that is not listed is never first")
+	next := views["0"].All[1]
+	lost := func(address string) bool { return address != firsts[0] }
+	assert.Equal(t, views["0"].rank(next, lost), 0, "the next one takes over")
+}
+
+// Guards against news that don't reach a node: each node asks the first of its domain, and these ask the first of the fleet.
+func TestQuestionsLeadToTheFirstNode(t *testing.T) {
+	vms, views := testFleet()
+	first := views["0"].All[0]
+	domainOf := make(map[string]string)
+	for _, v := range vms {
+		domainOf[v.PeerAddress] = v.FailureDomain
+	}
+	for _, v := range vms {
+		hops, at := 0, v.PeerAddress
+		for at != first {
+			at = views[domainOf[at]].upstreams(at, 1, always)[0]
+			hops++
+		}
+		assert.Assert(t, hops <= 2)
+	}
+}
+
+// Load pattern: a fleet of 200 nodes starts. Guards against messages that grow with the square of the fleet and cross the
+// failure domains.
+func TestStartIsToldToTheNodesAround(t *testing.T) {
+	_, views := testFleet()
+	n := views["1"]
+	told := n.around(2, always)
+	assert.Equal(t, len(told), testNodes/testDomains+2*(testDomains-1))
+	for _, address := range n.Neighbours {
+		assert.Assert(t, slices.Contains(told, address))
+	}
+}
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -76,15 +76,28 @@
 	}()
 }
 
-// nextPeer returns the node to ask: the first ones upstream, and nodes of all domains by chance while those bring nothing
-// newer.
+// nextPeer returns the node to ask: the first ones upstream, then, while those bring nothing newer, nodes of the own failure
+// domain and at last of all domains by chance.
 func (d *Directory) nextPeer(nodes Nodes) string {
-	const firstUpstreams = 2
+	const (
+		firstUpstreams = 2
+		domainTries    = 5
+	)
 	if upstreams := nodes.upstreams(d.Address, firstUpstreams, d.Peers.Usable); d.asked < len(upstreams) {
 		return upstreams[d.asked]
 	}
+	if d.asked < domainTries {
+		if address := d.anyOf(nodes.Neighbours); address != "" {
+			return address
+		}
+	}
+	return d.anyOf(nodes.All)
+}
+
+// anyOf returns one of the other nodes that can be reached, by chance, or "".
+func (d *Directory) anyOf(addresses []string) string {
 	var candidates []string
-	for _, address := range nodes.All {
+	for _, address := range addresses {
 		if address != d.Address && d.Peers.Reachable(address) {
 			candidates = append(candidates, address)
 		}
@@ -152,17 +165,18 @@
 	}
 }
 
-// announce sends a message to all known nodes.
+// announce sends a message to the nodes around this one.
 func (d *Directory) announce(path string, message any) {
-	d.broadcast(d.nodes().All, path, message)
+	const firstOfEachDomain = 2
+	d.broadcast(d.nodes().around(firstOfEachDomain, d.Peers.Usable), path, message)
 }
 
-// AnnouncePresence tells the other nodes that this one has started.
+// AnnouncePresence tells the nodes around this one that it has started.
 func (d *Directory) AnnouncePresence() {
 	d.post(func(now clock.Millis) { d.announce(SyncPath, d.self(now)) })
 }
 
-// AnnounceLeaving tells the other nodes that this one takes no new work.
+// AnnounceLeaving tells the nodes around this one that it takes no new work.
 func (d *Directory) AnnounceLeaving() {
 	d.announce(LeavePath, LeaveMessage{From: d.Address, Incarnation: d.Incarnation})
 }
