--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/zeebo/errs"
 
 	"coltsfootusher.example/coltsfootd/peers"
 	"coltsfootusher.example/core/clock"
@@ -21,6 +22,9 @@
 	"coltsfootusher.example/core/vm"
 )
 
+// Error is the class of errors about messages between nodes.
+var Error = errs.Class("directory")
+
 const (
 	tickInterval = 50 * time.Millisecond
 	eventQueue   = 256
@@ -262,6 +266,10 @@
 		_ = level.Error(d.Logger).Log("msg", "published row can't be used", "version", p.Version, "section", problem.Section,
 			"row", problem.Row, "err", problem.Err)
 	}
+	if source != platformSource {
+		// A node that waits for a confirmation asks at once: the node that has the policy can confirm it.
+		d.asked, d.askAfter = 0, 0
+	}
 	d.publish()
 	d.spread(source, syncMessage{Policy: &p})
 	return true
--- /dev/null
+++ b/coltsfootd/directory/message_test.go
@@ -0,0 +1,45 @@
+package directory
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a malformed message of another node that ends the process, or puts an empty policy or list into force.
+func TestMalformedMessagesAreRejected(t *testing.T) {
+	for _, body := range []string{
+		"", "[]", `"x"`, `{"ageMs":-2}`, `{"ageMs":1e400}`, `{"policyVersion":-1}`, `{"policy":{}}`, `{"policy":{"version":-1}}`,
+		`{"policy":{"version":"1"}}`, `{"roster":{"revision":-1}}`, `{"roster":{"changes":[null]}}`, `{"roster":{"changes":[{}]}}`,
+		`{"roster":{"changes":[{"name":"a","revision":1,"vm":{}}]}}`, `{"roster":{"changes":[{"name":"a","revision":0}]}}`,
+		`{"roster":{"lapseGraceMs":-5}}`, `{"ageMs":0`, strings.Repeat(`{"policy":`, 1_000_000),
+	} {
+		_, err := decodeMessage(strings.NewReader(body))
+		assert.Assert(t, err != nil, "%.40s", body)
+	}
+	m, err := decodeMessage(strings.NewReader(`{"ageMs":5,"aFieldOfALaterVersion":[1,2]}`))
+	assert.NilError(t, err, "a later version may say more")
+	assert.Equal(t, int64(m.AgeMs), int64(5))
+}
+
+// Guards against bytes of another node that end the process.
+func FuzzDecodeMessage(f *testing.F) {
+	f.Add(`{"from":"1.2.3.4:5","incarnation":"7","policyVersion":3,"revision":9,"ageMs":20}`)
+	f.Add(`{"ageMs":-1,"policy":{"version":3,"routes":[{"prefix":"/a/","class":"lookup"}]}}`)
+	f.Add(`{"ageMs":-1,"roster":{"revision":9,"whole":true,"changes":[{"name":"a","revision":4,"vm":{"name":"a","service":"s"}}]}}`)
+	f.Fuzz(func(t *testing.T, raw string) {
+		m, err := decodeMessage(strings.NewReader(raw))
+		if err != nil {
+			return
+		}
+		encoded, err := json.Marshal(m)
+		assert.NilError(t, err)
+		again, err := decodeMessage(strings.NewReader(string(encoded)))
+		assert.NilError(t, err)
+		second, err := json.Marshal(again)
+		assert.NilError(t, err)
+		assert.Equal(t, string(encoded), string(second))
+	})
+}
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -22,9 +23,11 @@
 )
 
 const (
-	askTimeout               = 300 * time.Millisecond
-	askRetryMs  clock.Millis = 200
-	pushTimeout              = 400 * time.Millisecond
+	askTimeout              = 300 * time.Millisecond
+	askRetryMs clock.Millis = 200
+	// startRetryMs is the pause between the questions of a node that has just started.
+	startRetryMs clock.Millis = 80
+	pushTimeout               = 400 * time.Millisecond
 )
 
 // syncMessage is a request and a reply: what the sender knows, and what the receiver lacks.
@@ -42,6 +45,35 @@
 	Vouched string `json:"vouched,omitempty"`
 }
 
+// Validate reports the first field that no node can have meant.
+func (m syncMessage) Validate() error {
+	switch {
+	case m.PolicyVersion < 0 || m.Revision < 0 || m.AgeMs < -1:
+		return Error.New("message has a negative version, revision or age")
+	case m.Policy != nil && m.Policy.Version <= 0:
+		return Error.New("message has a policy without a version")
+	case m.Roster == nil:
+		return nil
+	case m.Roster.Revision < 0 || m.Roster.Base < 0 || m.Roster.LapseGraceMs < 0:
+		return Error.New("message has a list with a negative revision or time")
+	}
+	for _, c := range m.Roster.Changes {
+		if c.Name == "" || c.Revision <= 0 || c.VM != nil && (c.VM.Name != c.Name || c.VM.Service == "" || c.VM.Slots < 0) {
+			return Error.New("message has the incomplete entry %q", c.Name)
+		}
+	}
+	return nil
+}
+
+// decodeMessage reads a message of another node.
+func decodeMessage(r io.Reader) (syncMessage, error) {
+	var m syncMessage
+	if err := json.NewDecoder(r).Decode(&m); err != nil {
+		return m, Error.Wrap(err)
+	}
+	return m, m.Validate()
+}
+
 // LeaveMessage says that a node takes no new work.
 type LeaveMessage struct {
 	From        string `json:"from"`
@@ -72,6 +104,9 @@
 	go func() {
 		var reply syncMessage
 		err := d.Peers.Call(ctx, address, SyncPath, askTimeout, message, &reply)
+		if err == nil {
+			err = reply.Validate()
+		}
 		d.post(func(done clock.Millis) { d.finishAsk(address, reply, err, now, done) })
 	}()
 }
@@ -82,11 +117,18 @@
 	const (
 		firstUpstreams = 2
 		domainTries    = 5
+		// startTries is how often a node that has just started asks the same one: all of a fleet may have started together,
+		// and the first ones will have the values soonest.
+		startTries = 3
 	)
-	if upstreams := nodes.upstreams(d.Address, firstUpstreams, d.Peers.Usable); d.asked < len(upstreams) {
-		return upstreams[d.asked]
+	tried := d.asked
+	if d.view.Load() == nil {
+		tried /= startTries
 	}
-	if d.asked < domainTries {
+	if upstreams := nodes.upstreams(d.Address, firstUpstreams, d.Peers.Usable); tried < len(upstreams) {
+		return upstreams[tried]
+	}
+	if tried < domainTries {
 		if address := d.anyOf(nodes.Neighbours); address != "" {
 			return address
 		}
@@ -124,6 +166,9 @@
 	}
 	d.asked++
 	d.askAfter = now + askRetryMs
+	if d.view.Load() == nil {
+		d.askAfter = now + startRetryMs
+	}
 }
 
 func (d *Directory) confirmFrom(reply syncMessage, sentAt clock.Millis, address string) {
@@ -210,8 +255,8 @@
 
 // ServeSync answers a node that asks or tells.
 func (d *Directory) ServeSync(w http.ResponseWriter, r *http.Request) {
-	var m syncMessage
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, peers.MaxMessageBytes)).Decode(&m); err != nil {
+	m, err := decodeMessage(http.MaxBytesReader(w, r.Body, peers.MaxMessageBytes))
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
