--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -203,13 +203,17 @@
 	}
 	d.vouch(ctx, now)
 	d.watch(ctx, acting)
-	// A node that has just started asks at once.
-	askDue := schedule.AskDue(rank, age) || rank > 0 && d.view.Load() == nil
+	askDue := schedule.AskDue(rank, age) || rank > 0 && d.starting(now)
 	if len(nodes.All) > 0 && !d.asking && now >= d.askAfter && askDue {
 		d.startAsk(ctx, nodes, now)
 	}
 }
 
+// starting reports whether the values are still missing, or have never been confirmed. The node serves nobody until then.
+func (d *Directory) starting(now clock.Millis) bool {
+	return d.view.Load() == nil || d.lease.Age(now) == clock.Never
+}
+
 // nodes returns the nodes of the list in force or, before it is known, those of which this node has heard.
 func (d *Directory) nodes() Nodes {
 	if v := d.view.Load(); v != nil {
--- a/coltsfootd/directory/directory_test.go
+++ b/coltsfootd/directory/directory_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -103,9 +107,11 @@
 // server is another node of the same failure domain that answers questions.
 type server struct {
 	address string
+	// silent makes it refuse all questions.
+	silent atomic.Bool
 }
 
-func newServer(t *testing.T, source *countingSource) server {
+func newServer(t *testing.T, source *countingSource) *server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -121,11 +127,18 @@
 	go d.Run(ctx)
 	waitForView(t, d)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+directory.SyncPath, d.ServeSync)
+	own := &server{address: address}
+	mux.HandleFunc("POST "+directory.SyncPath, func(w http.ResponseWriter, r *http.Request) {
+		if own.silent.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		d.ServeSync(w, r)
+	})
 	s := &http.Server{Handler: mux}
 	go func() { _ = s.Serve(listener) }()
 	t.Cleanup(func() { _ = s.Close() })
-	return server{address: address}
+	return own
 }
 
 // passTicks waits until the directory has looked at its clock many times.
@@ -165,6 +178,31 @@
 	assert.Equal(t, source.policies.Load()+source.lists.Load()+source.listens.Load(), int64(0))
 }
 
+// Load pattern: a whole fleet restarts, and each node gets the policy from another one before it could ask. Guards against
+// nodes that have the policy and refuse every request until their next regular question.
+func TestNodeThatWasSentThePolicyConfirmsItAtOnce(t *testing.T) {
+	known := &countingSource{}
+	other := newServer(t, known)
+	other.silent.Store(true)
+	source := &countingSource{list: []roster.Change{listed("t2", other.address)}}
+	d, reads := start(t, source)
+	passTicks(t, reads)
+	assert.Assert(t, !d.Fresh())
+	other.silent.Store(false)
+	list, err := json.Marshal(roster.Delta{Revision: 1, Whole: true, Changes: known.list})
+	assert.NilError(t, err)
+	push := fmt.Sprintf(`{"from":%q,"ageMs":-1,"policy":{"version":1},"roster":%s}`, other.address, list)
+	recorder := httptest.NewRecorder()
+	d.ServeSync(recorder, httptest.NewRequest(http.MethodPost, directory.SyncPath, strings.NewReader(push)))
+	assert.Equal(t, recorder.Code, http.StatusOK)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !d.Fresh() {
+			return poll.Continue("the policy is not confirmed")
+		}
+		return poll.Success()
+	})
+}
+
 // Guards against a list that may be old, and is only to show other nodes, becoming the one by which requests are sent.
 func TestContactsAreNotTheList(t *testing.T) {
 	source := &countingSource{list: []roster.Change{listed("t2", otherAddress)}}
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -94,7 +94,7 @@
 
 // startAsk asks a peer for a newer confirmation and newer values.
 func (d *Directory) startAsk(ctx context.Context, nodes Nodes, now clock.Millis) {
-	address := d.nextPeer(nodes)
+	address := d.nextPeer(nodes, now)
 	if address == "" {
 		d.askAfter = now + askRetryMs
 		return
@@ -113,16 +113,16 @@
 
 // nextPeer returns the node to ask: the first ones upstream, then, while those bring nothing newer, nodes of the own failure
 // domain and at last of all domains by chance.
-func (d *Directory) nextPeer(nodes Nodes) string {
+func (d *Directory) nextPeer(nodes Nodes, now clock.Millis) string {
 	const (
 		firstUpstreams = 2
 		domainTries    = 5
 		// startTries is how often a node that has just started asks the same one: all of a fleet may have started together,
 		// and the first ones will have the values soonest.
-		startTries = 3
+		startTries = 8
 	)
 	tried := d.asked
-	if d.view.Load() == nil {
+	if d.starting(now) {
 		tried /= startTries
 	}
 	if upstreams := nodes.upstreams(d.Address, firstUpstreams, d.Peers.Usable); tried < len(upstreams) {
@@ -166,7 +166,7 @@
 	}
 	d.asked++
 	d.askAfter = now + askRetryMs
-	if d.view.Load() == nil {
+	if d.starting(now) {
 		d.askAfter = now + startRetryMs
 	}
 }
