--- a/coltsfootd/quotas/quotas_test.go
+++ b/coltsfootd/quotas/quotas_test.go
@@ -158,7 +158,9 @@
 // Guards against a message between nodes that ends the process or takes tokens away.
 func TestMalformedDrawsAreRejected(t *testing.T) {
 	m := newMembers(t, 1)[0]
-	for _, body := range []string{"", "null", "[]", `{"need":-1}`, `{"need":1e400}`, `{"account":7}`, strings.Repeat("[", 4000), strings.Repeat("x", 1<<20)} {
+	for _, body := range []string{
+		"", "null", "[]", `{"need":-1}`, `{"need":1e400}`, `{"account":7}`, strings.Repeat("[", 4000), strings.Repeat("x", 1<<20),
+	} {
 		response, err := http.Post("http://"+m.address+quotas.DrawPath, "application/json", strings.NewReader(body))
 		assert.NilError(t, err)
 		if body != "null" {
@@ -166,7 +168,8 @@
 		}
 		assert.NilError(t, response.Body.Close())
 	}
-	response, err := http.Post("http://"+m.address+quotas.DrawPath, "application/json", strings.NewReader(`{"account":"none","need":1}`))
+	unknown := strings.NewReader(`{"account":"none","need":1}`)
+	response, err := http.Post("http://"+m.address+quotas.DrawPath, "application/json", unknown)
 	assert.NilError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	var reply struct{ Granted int }
--- a/coltsfootd/upstream/bound_test.go
+++ b/coltsfootd/upstream/bound_test.go
@@ -129,7 +129,8 @@
 	})
 	pool := newPool(address)
 	for range 2 {
-		response, err := pool.Do(context.Background(), &upstream.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+		unnamed := &upstream.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}
+		response, err := pool.Do(context.Background(), unnamed)
 		assert.NilError(t, err)
 		assert.Equal(t, response.Status, http.StatusBadRequest)
 	}
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -139,7 +139,9 @@
 }
 
 // play sends requests at the rate for a time and returns the numbers of requests and of those admitted.
-func (f *modelFleet) play(perSecond float64, spread func() *modelNode, length clock.Millis, disturb func(now clock.Millis)) (asked, admitted int) {
+func (f *modelFleet) play(
+	perSecond float64, spread func() *modelNode, length clock.Millis, disturb func(now clock.Millis),
+) (asked, admitted int) {
 	var waiting []modelRequest
 	for now := modelStartMs; now < modelStartMs+length; now += modelStepMs {
 		disturb(now)
@@ -256,13 +258,16 @@
 // Load pattern: accounts send somewhat less than their rate, through all nodes or through two of them. Guards against
 // refusals below the rate because the rate is divided: one bucket for the whole fleet must not admit noticeably more.
 func TestFleetAdmitsWhatOneBucketWould(t *testing.T) {
-	for _, rate := range []quota.Rate{{PerSecond: 1, Burst: 1}, {PerSecond: 2, Burst: 1.2}, {PerSecond: 4, Burst: 5}, {PerSecond: 100, Burst: 100}} {
+	for _, rate := range []quota.Rate{
+		{PerSecond: 1, Burst: 1}, {PerSecond: 2, Burst: 1.2}, {PerSecond: 4, Burst: 5}, {PerSecond: 100, Burst: 100},
+	} {
 		for _, entries := range []int{2, domains * nodesPer} {
 			f := newModelFleet(7, rate)
 			f.single = quota.NewOwned(rate, 0, modelStartMs)
 			spread := func() *modelNode { return f.nodes[f.random.IntN(entries)] }
 			asked, admitted := f.play(0.8*rate.PerSecond, spread, 300_000, func(clock.Millis) {})
-			assert.Assert(t, float64(f.admittedBySingle-admitted) <= 0.01*float64(asked), "rate %v, %d entries: %d of %d admitted, %d by one bucket",
+			lost := f.admittedBySingle - admitted
+			assert.Assert(t, float64(lost) <= 0.01*float64(asked), "rate %v, %d entries: %d of %d admitted, %d by one bucket",
 				rate, entries, admitted, asked, f.admittedBySingle)
 		}
 	}
