--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -105,24 +105,27 @@
 	// listed is true once a list of targets was read.
 	listed bool
 
-	// contacts are the nodes of which this node has heard before it knows the list.
-	contacts     Nodes
-	seeking      bool
-	seekAfter    clock.Millis
-	contactsAt   clock.Millis
-	reading      bool
-	readAfter    clock.Millis
-	lastRead     clock.Millis
-	relisting    bool
-	relistAt     clock.Millis
-	asking       bool
-	askAfter     clock.Millis
-	asked        int
-	stopWatch    context.CancelFunc
-	vouching     bool
-	vouchAt      clock.Millis
+	// contacts are the nodes of which this node has heard before it knows the list, since contactsAt.
+	contacts   Nodes
+	contactsAt clock.Millis
+	// Each kind of call has one under way at most, and a time before which it is not made again.
+	seeking   bool
+	seekAfter clock.Millis
+	reading   bool
+	readAfter clock.Millis
+	relisting bool
+	relistAt  clock.Millis
+	asking    bool
+	askAfter  clock.Millis
+	vouching  bool
+	vouchAt   clock.Millis
+	// lastRead is the time of the last own read of the policy; asked counts the questions since the last one that helped.
+	lastRead  clock.Millis
+	asked     int
+	stopWatch context.CancelFunc
+	calls     platformCalls
+	// failures counts the calls to the platform that failed since the last answer.
 	failures     int
-	calls        platformCalls
 	platformLost bool
 }
 
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -112,6 +112,7 @@
 		d.readAfter = now + d.failed("policy", err)
 	default:
 		d.lastRead = now
+		d.unreadable.Store(false)
 		d.platformAnswered(now)
 		d.applyPolicy(p, platformSource)
 		d.confirm(p.Version, sentAt, platformSource)
