--- a/coltsfootctl/explanation/reason.go
+++ b/coltsfootctl/explanation/reason.go
@@ -25,6 +25,7 @@
 	call.ReasonTargetFailed:        "the connection to the target broke during the call",
 	call.ReasonNodeUnreachable:     "the target's node did not answer",
 	call.ReasonAnswerMismatch:      "the target's response belongs to another request",
+	call.ReasonAnswerOversized:     "the target sent a response head, or responses to other requests, without end",
 	call.ReasonAnswerTruncated:     "the target's response is incomplete",
 	call.ReasonNotReady:            "the node has not yet read all published values",
 	call.ReasonConfirmTimeout:      "the node could not confirm its published values in time",
--- a/coltsfootd/directory/directory_test.go
+++ b/coltsfootd/directory/directory_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
@@ -26,6 +27,9 @@
 	"coltsfootusher.example/core/vm"
 )
 
+// waitLimit is far above what the waits in these tests need, also beside load.
+const waitLimit = time.Minute
+
 const (
 	ownAddress   = "127.0.0.1:1"
 	otherAddress = "127.0.0.2:1"
@@ -151,7 +155,7 @@
 			return poll.Continue("the directory has not ticked often enough")
 		}
 		return poll.Success()
-	})
+	}, poll.WithTimeout(waitLimit))
 }
 
 func waitForView(t *testing.T, d *directory.Directory) {
@@ -161,7 +165,7 @@
 			return poll.Continue("no view yet")
 		}
 		return poll.Success()
-	})
+	}, poll.WithTimeout(waitLimit))
 }
 
 // Guards against a new fleet in which every node reads the policy and the whole list and watches all targets register, so
@@ -200,7 +204,7 @@
 			return poll.Continue("the policy is not confirmed")
 		}
 		return poll.Success()
-	})
+	}, poll.WithTimeout(waitLimit))
 }
 
 // Guards against a list that may be old, and is only to show other nodes, becoming the one by which requests are sent.
@@ -222,7 +226,7 @@
 			return poll.Continue("no watch yet")
 		}
 		return poll.Success()
-	})
+	}, poll.WithTimeout(waitLimit))
 	passTicks(t, reads)
 	assert.Equal(t, source.listens.Load(), int64(1))
 }
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -121,6 +121,7 @@
 	n.bodies = body.NewBudget(s.MemoryMB)
 	n.bodies.Publish(metrics)
 	n.peers = peers.New(s.Peer().Addr().String(), n.clock, n.sockets, logging.Part(n.logger, "peers"))
+	n.peers.Publish(metrics)
 	n.target = upstream.New(s.TargetAddress, upstream.Settings{
 		DialTimeout: targetDialTimeout, SilenceLimit: targetSilenceLimit, IdleLimit: targetIdleLimit,
 		MaxIdle: n.sockets.IdleToTarget(), EchoHeader: dialect.EchoHeader(), BufferBytes: targetBufferBytes,
--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"net/http"
 	"os"
 	"sync"
@@ -195,6 +196,11 @@
 	return all
 }
 
+// Publish makes the number of lost peers visible among the metrics.
+func (t *Table) Publish(metrics *expvar.Map) {
+	metrics.Set("peersLost", expvar.Func(func() any { return t.Lost() }))
+}
+
 // Lost returns the number of peers that can't be reached.
 func (t *Table) Lost() int {
 	return int(t.lost.Load())
