Ask the other nodes of a domain when one is lost

Cause: a node learns that another one is lost only when it calls it. Since draws go to one owner in the fleet and nearly all requests stay in their domain, an owner calls few nodes: after a cut of a domain it went on counting the others as reached, and owners on both sides granted more than their parts.

Change: when a node is lost, all nodes of its domain are asked for a sign of life, once a second at most. TestLossMakesItsDomainSuspect fails without it.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -351,9 +351,9 @@
 		AccountsIncomplete: d.policy.AccountsIncomplete,
 	}
 	v.Ranking = quota.NewRanking(v.All)
-	listed := make(map[string]bool, len(v.All))
-	for _, address := range v.All {
-		listed[address] = true
+	listed := make(map[string]string, len(v.All))
+	for _, other := range vms {
+		listed[other.PeerAddress] = other.FailureDomain
 	}
 	d.Peers.Keep(listed)
 	d.view.Store(v)
--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -41,6 +41,8 @@
 	probeTimeout  = 500 * time.Millisecond
 	// quietLimit is the time without a byte from a node that owes answers after which it is asked for a sign of life.
 	quietLimit = 300 * time.Millisecond
+	// suspectPause is the shortest time between two rounds of questions to all nodes of a domain.
+	suspectPause = time.Second
 )
 
 // PingPath answers with a Pong.
@@ -68,6 +70,8 @@
 	// leaving is the incarnation that said it takes no new work; 0 if none did.
 	leaving uint64
 	probing bool
+	// suspect is true if the peer is to be asked for a sign of life although it owes no answer.
+	suspect bool
 	aliveAt time.Time
 	probeAt time.Time
 	// calls are the calls under way, with the functions that cancel them; nil for those that must not be cancelled.
@@ -93,11 +97,18 @@
 
 	mu    sync.Mutex
 	peers map[string]*Peer
+	// domains are the failure domains of the listed nodes by address, suspectedAt the last times at which a loss made all
+	// nodes of a domain suspect.
+	domains     map[string]string
+	suspectedAt map[string]time.Time
 }
 
 // New returns a table of a node that connects from the IP address source.
 func New(source string, c clock.Clock, sockets *socket.Budget, logger log.Logger) *Table {
-	return &Table{source: source, clock: c, sockets: sockets, logger: logger, peers: make(map[string]*Peer)}
+	return &Table{
+		source: source, clock: c, sockets: sockets, logger: logger, peers: make(map[string]*Peer),
+		suspectedAt: make(map[string]time.Time),
+	}
 }
 
 // ChangedAt returns the last time at which a peer was lost or came back; 0 if none ever was.
@@ -154,14 +165,16 @@
 	t.Get(address).alive(Pong{Incarnation: incarnation})
 }
 
-// Keep forgets the peers that are not listed and have no call under way.
-func (t *Table) Keep(listed map[string]bool) {
+// Keep takes the failure domains of the listed nodes by address, and forgets the peers that are not listed and have no call
+// under way.
+func (t *Table) Keep(listed map[string]string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.domains = listed
 	idle := t.sockets.IdlePerPeer(len(listed))
 	for address, p := range t.peers {
 		p.pool.SetMaxIdle(idle)
-		if !listed[address] && p.idle() {
+		if _, ok := listed[address]; !ok && p.idle() {
 			p.forget()
 			delete(t.peers, address)
 		}
@@ -294,6 +307,8 @@
 	due := false
 	if p.down || p.leaving != 0 {
 		due = !now.Before(p.probeAt)
+	} else if p.suspect {
+		due = true
 	} else if oldest, any := p.oldest(); any {
 		if heard.Before(p.aliveAt) {
 			heard = p.aliveAt
@@ -304,6 +319,7 @@
 		due = now.Sub(heard) > quietLimit
 	}
 	p.probing = due
+	p.suspect = p.suspect && !due
 	return due
 }
 
@@ -397,9 +413,42 @@
 
 // setDown takes the peer out of the choice. If it is silent, the calls that may be sent elsewhere end.
 func (p *Peer) setDown(cause error) {
+	if p.noteDown(cause) {
+		p.table.suspectDomain(p.pool.Address(), time.Now())
+	}
+}
+
+// suspectDomain lets all nodes of the domain of a lost one be asked for a sign of life. A cut takes many nodes at once, and
+// those to which no call is under way would count as reached for as long as none is made.
+func (t *Table) suspectDomain(lost string, now time.Time) {
+	t.mu.Lock()
+	domain, listed := t.domains[lost]
+	if !listed || now.Sub(t.suspectedAt[domain]) < suspectPause {
+		t.mu.Unlock()
+		return
+	}
+	t.suspectedAt[domain] = now
+	var addresses []string
+	for address, other := range t.domains {
+		if other == domain && address != lost {
+			addresses = append(addresses, address)
+		}
+	}
+	t.mu.Unlock()
+	for _, address := range addresses {
+		p := t.Get(address)
+		p.mu.Lock()
+		p.suspect = true
+		p.mu.Unlock()
+	}
+}
+
+// noteDown takes the peer out of the choice and reports whether it was in it.
+func (p *Peer) noteDown(cause error) (wasUp bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.down {
+	wasUp = !p.down
+	if wasUp {
 		p.table.changedAt.Store(int64(p.table.clock.Now()))
 		p.probeAt = time.Now().Add(p.table.probePause())
 		_ = level.Warn(p.table.logger).Log("msg", "peer can't be reached", "peer", p.pool.Address(), "calls", len(p.calls),
@@ -408,11 +457,12 @@
 	p.mark(true)
 	if !silent(cause) {
 		// A node that stops refuses new connections and still answers on the old ones; those of one that died break.
-		return
+		return wasUp
 	}
 	for _, f := range p.calls {
 		if f.cancel != nil {
 			f.cancel(ErrSilent)
 		}
 	}
+	return wasUp
 }
--- a/coltsfootd/peers/probe_test.go
+++ b/coltsfootd/peers/probe_test.go
@@ -45,3 +45,15 @@
 	assert.Assert(t, !other.needsProbe(time.Now()))
 	assert.Assert(t, other.needsProbe(time.Now().Add(probeInterval)))
 }
+
+// Guards against nodes behind a cut that count as reached because no call to them is under way: owners on both sides of the
+// cut would grant the whole rate of an account.
+func TestLossMakesItsDomainSuspect(t *testing.T) {
+	table := New("", clock.NewSystem(), socket.NewBudget(1000), log.NewNopLogger())
+	table.Keep(map[string]string{"127.0.0.1:1": "a", "127.0.0.1:2": "a", "127.0.0.1:3": "b"})
+	now := time.Now()
+	assert.Assert(t, !table.Get("127.0.0.1:2").needsProbe(now))
+	table.Get("127.0.0.1:1").setDown(Error.New("refused"))
+	assert.Assert(t, table.Get("127.0.0.1:2").needsProbe(now))
+	assert.Assert(t, !table.Get("127.0.0.1:3").needsProbe(now), "another domain")
+}
