Read only the list in force when a stop is announced

Cause: since starts and stops are told to the nodes around, AnnounceLeaving, which runs beside the goroutine that owns the directory's state, read the contacts of a node that does not know the list yet: a data race at a stop in its first moments, seen when the change was read. TestStopBeforeTheListIsKnown guards against it under the race detector; that it fails without the change was not run.

--- a/coltsfootd/directory/directory_test.go
+++ b/coltsfootd/directory/directory_test.go
@@ -240,3 +240,14 @@
 	assert.Equal(t, source.policies.Load(), int64(1))
 	assert.Assert(t, d.View() == nil)
 }
+
+// Guards against a stop in the first moments of a node that reads what the owner of the state is writing: the race detector
+// reports it.
+func TestStopBeforeTheListIsKnown(t *testing.T) {
+	source := &countingSource{list: []roster.Change{listed("t2", otherAddress)}}
+	d, reads := start(t, source)
+	for range 100 {
+		d.AnnounceLeaving()
+	}
+	passTicks(t, reads)
+}
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -210,10 +210,12 @@
 	}
 }
 
-// announce sends a message to the nodes around this one.
+// announce sends a message to the nodes around this one, if the list of nodes is known.
 func (d *Directory) announce(path string, message any) {
 	const firstOfEachDomain = 2
-	d.broadcast(d.nodes().around(firstOfEachDomain, d.Peers.Usable), path, message)
+	if v := d.view.Load(); v != nil {
+		d.broadcast(v.around(firstOfEachDomain, d.Peers.Usable), path, message)
+	}
 }
 
 // AnnouncePresence tells the nodes around this one that it has started.
