Serve repeated logic of the directory from one place

Change: callPlatform, firsts and startAt; the unused method is gone. Behaviour is meant to stay: no bound, no assertion changed. Measured: race tests of directory, mesh, quotas and peers and the tests of platform pass, the linter is clean on directory and published.

--- a/coltsfootd/directory/address.go
+++ b/coltsfootd/directory/address.go
@@ -56,13 +56,15 @@
 	return max(1, rank)
 }
 
-// first returns the first address that can be used, or "".
-func first(addresses []string, usable func(address string) bool) string {
-	i := slices.IndexFunc(addresses, usable)
-	if i < 0 {
-		return ""
+// firsts returns up to count of the addresses that can be used, the first ones.
+func firsts(addresses []string, count int, usable func(address string) bool) []string {
+	var chosen []string
+	for _, address := range addresses {
+		if len(chosen) < count && usable(address) {
+			chosen = append(chosen, address)
+		}
 	}
-	return addresses[i]
+	return chosen
 }
 
 // upstreams returns up to count nodes from which the node at the address gets news: the first ones of the fleet if it is the
@@ -72,13 +74,7 @@
 	if n.leads(address, usable) {
 		from = n.All
 	}
-	var chosen []string
-	for _, other := range from {
-		if len(chosen) < count && other != address && usable(other) {
-			chosen = append(chosen, other)
-		}
-	}
-	return chosen
+	return firsts(from, count, func(other string) bool { return other != address && usable(other) })
 }
 
 // around returns the nodes that are told of a node's start and stop: those of its own failure domain, which send it most of
@@ -87,18 +83,13 @@
 func (n Nodes) around(count int, usable func(address string) bool) []string {
 	told := slices.Clone(n.Neighbours)
 	for _, other := range n.Others {
-		firsts := 0
-		for _, address := range other {
-			if firsts < count && usable(address) {
-				told = append(told, address)
-				firsts++
-			}
-		}
+		told = append(told, firsts(other, count, usable)...)
 	}
 	return told
 }
 
 // leads reports whether the address is the first of its failure domain, which passes news on to the others.
 func (n Nodes) leads(address string, usable func(address string) bool) bool {
-	return first(n.Neighbours, func(other string) bool { return other == address || usable(other) }) == address
+	i := slices.IndexFunc(n.Neighbours, func(other string) bool { return other == address || usable(other) })
+	return i >= 0 && n.Neighbours[i] == address
 }
--- a/coltsfootd/directory/directory_test.go
+++ b/coltsfootd/directory/directory_test.go
@@ -95,11 +95,19 @@
 
 // start runs a directory in the failure domain d and returns it with the counter of its clock.
 func start(t *testing.T, source directory.Source) (*directory.Directory, *atomic.Int64) {
+	t.Helper()
+	return startAt(t, ownAddress, 1, source)
+}
+
+// startAt runs the directory of an incarnation of the node at the address.
+func startAt(
+	t *testing.T, address string, incarnation uint64, source directory.Source,
+) (*directory.Directory, *atomic.Int64) {
 	t.Helper()
 	reads := new(atomic.Int64)
 	c := stoppedClock{reads: reads}
 	d := directory.New(directory.Config{
-		Address: ownAddress, FailureDomain: "d", Incarnation: 1, LeaseMs: 1000, Clock: c, Source: source,
+		Address: address, FailureDomain: "d", Incarnation: incarnation, LeaseMs: 1000, Clock: c, Source: source,
 		Peers: peers.New("127.0.0.1", c, socket.NewBudget(1000), log.NewNopLogger()), Logger: log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -121,14 +129,7 @@
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	source.list = []roster.Change{listed("t2", address)}
-	c := stoppedClock{reads: new(atomic.Int64)}
-	d := directory.New(directory.Config{
-		Address: address, FailureDomain: "d", Incarnation: 2, LeaseMs: 1000, Clock: c, Source: source,
-		Peers: peers.New("127.0.0.1", c, socket.NewBudget(1000), log.NewNopLogger()), Logger: log.NewNopLogger(),
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go d.Run(ctx)
+	d, _ := startAt(t, address, 2, source)
 	waitForView(t, d)
 	mux := http.NewServeMux()
 	own := &server{address: address}
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -55,11 +55,9 @@
 	}
 	d.seeking = true
 	d.calls.contacts.Add(1)
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
+	d.callPlatform(ctx, func(ctx context.Context) func(done clock.Millis) {
 		vms, err := d.Source.Contacts(ctx)
-		d.post(func(done clock.Millis) {
+		return func(done clock.Millis) {
 			d.seeking = false
 			if err != nil {
 				d.seekAfter = done + max(seekNoneMs, d.failed("contacts", err))
@@ -70,7 +68,17 @@
 			}
 			d.contacts = nodesOf(vms, d.FailureDomain)
 			d.seekAfter = done + d.seekPause()
-		})
+		}
+	})
+}
+
+// callPlatform makes a call in the background; the function that call returns takes the result in the goroutine that owns
+// the state.
+func (d *Directory) callPlatform(ctx context.Context, call func(ctx context.Context) func(done clock.Millis)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		d.post(call(ctx))
 	}()
 }
 
@@ -88,12 +96,10 @@
 func (d *Directory) startRead(ctx context.Context, now clock.Millis) {
 	d.reading = true
 	d.calls.policies.Add(1)
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
+	d.callPlatform(ctx, func(ctx context.Context) func(done clock.Millis) {
 		p, err := d.Source.Policy(ctx)
-		d.post(func(done clock.Millis) { d.finishRead(p, err, now, done) })
-	}()
+		return func(done clock.Millis) { d.finishRead(p, err, now, done) }
+	})
 }
 
 func (d *Directory) finishRead(p published.Policy, err error, sentAt, now clock.Millis) {
@@ -122,11 +128,9 @@
 func (d *Directory) startRelist(ctx context.Context, now clock.Millis) {
 	d.relisting = true
 	d.calls.lists.Add(1)
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
+	d.callPlatform(ctx, func(ctx context.Context) func(done clock.Millis) {
 		delta, notes, err := d.Source.Targets(ctx)
-		d.post(func(done clock.Millis) {
+		return func(done clock.Millis) {
 			d.relisting = false
 			d.relistAt = now + relistMs
 			if err != nil {
@@ -135,8 +139,8 @@
 			}
 			d.platformAnswered(done)
 			d.applyTargets(delta, notes, platformSource, done)
-		})
-	}()
+		}
+	})
 }
 
 // failed records a call to the platform that failed, logs the loss of the platform once, and returns the pause before the
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -204,9 +204,7 @@
 		return
 	}
 	for _, other := range nodes.Others {
-		if leader := first(other, d.Peers.Usable); leader != "" {
-			d.broadcast([]string{leader}, SyncPath, m)
-		}
+		d.broadcast(firsts(other, 1, d.Peers.Usable), SyncPath, m)
 	}
 }
 
--- a/core/published/policy.go
+++ b/core/published/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/clock"
@@ -39,11 +38,6 @@
 	Err     error
 }
 
-// Error returns the place and the cause of the problem.
-func (p Problem) Error() string {
-	return fmt.Sprintf("%s: row %d: %v", p.Section, p.Row, p.Err)
-}
-
 // CallerBounds limit what a caller may send, and for how long.
 type CallerBounds struct {
 	MaxHeaderBytes  int          `json:"maxHeaderBytes"`
