Log what targets state about themselves and what they get

Change: platform/ reads Server-Limit and Server-Leaving into targetstatus.Report; the node beside the target logs each change of the status and, while a limit is named, once a second how many requests the target got; other nodes log what they learn from replies. Metrics targetRequests, targetStatus and targetStatusUnreadable. A malformed value leaves the previous status and is logged at most once a second. No decision on requests uses any of it yet, but for the health check of an unlisted target, which no longer counts as serving if it says that it leaves.

--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/directory"
 	"coltsfootusher.example/coltsfootd/passage"
@@ -85,17 +87,19 @@
 	RetryBudget   RetryBudget
 	Recorder      *decision.Recorder
 	Random        *rand.Rand
+	Logger        log.Logger
 }
 
 // Sender chooses targets and sends requests to them.
 type Sender struct {
 	SenderConfig
 	randomMu sync.Mutex
+	statuses *targetStatuses
 }
 
 // NewSender returns a sender with the given dependencies.
 func NewSender(c SenderConfig) *Sender {
-	return &Sender{SenderConfig: c}
+	return &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger)}
 }
 
 // Send sends the job until a target has answered it, it must not be retried, or no target is left.
@@ -231,6 +235,7 @@
 		result.Load = &load
 	}
 	s.Balancer.Finished(v.Name, result, s.Clock.Now())
+	s.statuses.record(v.Name, reply, s.Clock.Now())
 	s.Recorder.Record(decision.Decision{
 		AtMs: s.Clock.Now(), Part: decision.PartPassage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
 		Action: "request sent to target", Node: v.Name, Reason: reply.Reason, Attempt: j.Attempt,
--- a/coltsfootd/localtarget/health.go
+++ b/coltsfootd/localtarget/health.go
@@ -5,12 +5,12 @@
 	"net/http"
 
 	"coltsfootusher.example/coltsfootd/upstream"
+	"coltsfootusher.example/core/dialect"
 )
 
 // HealthDialect reads the answer of a target to a health check.
 type HealthDialect interface {
-	// ReadHealth returns the id of the target if it serves and is not leaving, and "" otherwise.
-	ReadHealth(status int, h http.Header) string
+	ReadHealth(status int, h http.Header) dialect.HealthAnswer
 }
 
 // HealthProber checks the health of the local target.
@@ -48,5 +48,6 @@
 		return false
 	}
 	response.Close()
-	return h.dialect.ReadHealth(response.Status, response.Header) == id
+	answer := h.dialect.ReadHealth(response.Status, response.Header)
+	return answer.Target == id && answer.Healthy && !answer.Status.Leaving
 }
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"coltsfootusher.example/coltsfootd/body"
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/directory"
@@ -20,6 +23,7 @@
 	"coltsfootusher.example/core/gate"
 	"coltsfootusher.example/core/poison"
 	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/targetstatus"
 	"coltsfootusher.example/core/vm"
 )
 
@@ -45,6 +49,7 @@
 	Sockets    Sockets
 	Bodies     *body.Budget
 	CrashGuard CrashGuard
+	Logger     log.Logger
 }
 
 // CrashGuard identifies requests that crash the target.
@@ -64,13 +69,19 @@
 	Config
 	absentTargets absentTargets
 	retries       retryGauge
+	status        *statusMonitor
 	// lastInnerRefusal is the time of the latest refusal of an inner call of the target.
 	lastInnerRefusal atomic.Int64
 }
 
 // New returns a runner with these dependencies.
 func New(c Config) *Runner {
-	return &Runner{Config: c}
+	return &Runner{Config: c, status: newStatusMonitor(c.Logger, c.Clock.Now())}
+}
+
+// Publish exports the counters and the status of the target, whose id target returns, as metrics.
+func (r *Runner) Publish(metrics *expvar.Map, target func() string) {
+	r.status.publish(metrics, target)
 }
 
 // RecordInnerRefusal records that an inner call of the local target was refused because the called service is overloaded.
@@ -94,6 +105,9 @@
 	received := r.Clock.Now()
 	reply, response := r.run(ctx, c, request, received)
 	reply.Load = r.Admission.Load()
+	if s := r.status.status(c.Target); s != (targetstatus.Status{}) {
+		reply.TargetStatus = &s
+	}
 	r.record(c, reply, received)
 	return reply, response
 }
@@ -181,6 +195,7 @@
 	r.Dialect.WriteTarget(request.Header, dialect.TargetRequest{
 		RequestID: c.RequestID, Target: c.Target, Account: c.Account, Caller: c.Caller, TimeoutMs: left,
 	})
+	r.status.countSent(c.Target, r.Clock.Now())
 	r.retries.begin(c.Repeated)
 	response, err := r.Pool.Do(ctx, request)
 	r.retries.end(c.Repeated)
@@ -191,6 +206,9 @@
 	}
 	response.OnClose(cancel)
 	said := r.Dialect.ReadTarget(response.Status, response.Header)
+	if (said.FromTarget || said.NotRun) && !said.WrongTarget {
+		r.status.observe(c.Target, said.Status, r.Clock.Now())
+	}
 	switch {
 	case said.WrongTarget:
 		response.Close()
--- /dev/null
+++ b/coltsfootd/localtarget/status.go
@@ -0,0 +1,89 @@
+package localtarget
+
+import (
+	"expvar"
+	"sync"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/targetstatus"
+)
+
+// statusLogIntervalMs is the shortest time between two log lines about the requests to a target that names a limit, and between
+// two lines about statuses that can't be read.
+const statusLogIntervalMs clock.Millis = 1000
+
+// statusMonitor holds the status of the local target and logs what the target states and what it gets.
+type statusMonitor struct {
+	logger log.Logger
+	// requests counts the requests sent to the target, unreadable the statuses that could not be read.
+	requests, unreadable expvar.Int
+
+	mu      sync.Mutex
+	tracker targetstatus.Tracker
+	// sent is the number of requests sent since countedSince, while the target names a limit.
+	sent         int
+	countedSince clock.Millis
+	errLoggedAt  clock.Millis
+}
+
+func newStatusMonitor(logger log.Logger, now clock.Millis) *statusMonitor {
+	return &statusMonitor{logger: logger, countedSince: now, errLoggedAt: now - statusLogIntervalMs}
+}
+
+// publish exports the counters and the status of the target as metrics.
+func (m *statusMonitor) publish(metrics *expvar.Map, target func() string) {
+	metrics.Set("targetRequests", &m.requests)
+	metrics.Set("targetStatusUnreadable", &m.unreadable)
+	metrics.Set("targetStatus", expvar.Func(func() any { return m.status(target()) }))
+}
+
+func (m *statusMonitor) status(target string) targetstatus.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Status(target)
+}
+
+// observe applies what an answer of the target states.
+func (m *statusMonitor) observe(target string, r targetstatus.Report, now clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := r.Err(); err != nil {
+		m.unreadable.Add(1)
+		m.logUnreadable(target, err, now)
+	}
+	if s, changed := m.tracker.Observe(target, r); changed {
+		m.logChange(target, s, "target")
+	}
+}
+
+func (m *statusMonitor) logUnreadable(target string, err error, now clock.Millis) {
+	if now-m.errLoggedAt < statusLogIntervalMs {
+		return
+	}
+	m.errLoggedAt = now
+	_ = level.Warn(m.logger).Log("msg", "status of the target can't be read, the previous one stays", "target", target, "err", err)
+}
+
+func (m *statusMonitor) logChange(target string, s targetstatus.Status, source string) {
+	_ = level.Info(m.logger).Log("msg", "status of the target changed", "target", target, "limited", s.Limited,
+		"limitPerSecond", s.LimitPerSecond, "leaving", s.Leaving, "source", source)
+}
+
+// countSent counts a request that is sent to the target. While the target names a limit, a line a second tells how many it got.
+func (m *statusMonitor) countSent(target string, now clock.Millis) {
+	m.requests.Add(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.tracker.Status(target)
+	if elapsed := now - m.countedSince; elapsed >= statusLogIntervalMs {
+		if s.Limited && m.sent > 0 {
+			_ = level.Info(m.logger).Log("msg", "requests sent to a target with a limit", "target", target, "sent", m.sent,
+				"periodMs", int64(elapsed), "limitPerSecond", s.LimitPerSecond)
+		}
+		m.sent, m.countedSince = 0, now
+	}
+	m.sent++
+}
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -27,6 +27,7 @@
 	"coltsfootusher.example/core/dialect"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/roster"
+	"coltsfootusher.example/core/targetstatus"
 	"coltsfootusher.example/core/vm"
 )
 
@@ -55,11 +56,23 @@
 	h.Set("Target", t.Target)
 }
 
-func (plainDialect) ReadTarget(_ int, h http.Header) dialect.TargetAnswer {
-	return dialect.TargetAnswer{FromTarget: h.Get("By") != ""}
+func (plainDialect) ReadTarget(status int, h http.Header) dialect.TargetAnswer {
+	return dialect.TargetAnswer{
+		FromTarget: h.Get("By") != "", WrongTarget: status == http.StatusMisdirectedRequest, Status: readStatus(h),
+	}
 }
 
-func (plainDialect) ReadHealth(_ int, h http.Header) string { return h.Get("By") }
+func (plainDialect) ReadHealth(status int, h http.Header) dialect.HealthAnswer {
+	return dialect.HealthAnswer{Target: h.Get("By"), Healthy: status == http.StatusOK, Status: readStatus(h)}
+}
+
+func readStatus(h http.Header) targetstatus.Report {
+	r := targetstatus.Report{Status: targetstatus.Status{Limited: h.Get("Limit") != "", Leaving: h.Get("Leaving") != ""}}
+	if r.Limited {
+		r.LimitPerSecond, r.LimitErr = strconv.ParseFloat(h.Get("Limit"), 64)
+	}
+	return r
+}
 
 // fakePlatform is an in-memory platform whose policy and targets the tests set.
 type fakePlatform struct {
@@ -137,7 +150,10 @@
 	runs         atomic.Int64
 	loseAnswers  atomic.Bool
 	holdRequests atomic.Bool
-	release      chan struct{}
+	leaving      atomic.Bool
+	// limit is the value of the limit header, or "" for none.
+	limit   atomic.Value
+	release chan struct{}
 	// server is stopped by a request for crashPath.
 	server      *httptest.Server
 	releaseOnce sync.Once
@@ -197,6 +213,12 @@
 	}
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("By", tg.id)
+	if limit, _ := tg.limit.Load().(string); limit != "" {
+		w.Header().Set("Limit", limit)
+	}
+	if tg.leaving.Load() {
+		w.Header().Set("Leaving", "1")
+	}
 	_, _ = fmt.Fprintf(w, "%s ran it", tg.id)
 }
 
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -140,6 +140,7 @@
 		Address: s.PeerAddress, Clock: n.clock, Values: n.directory, Peers: n.peers, Logger: logging.WithPart(n.logger, "quota"),
 	})
 	n.buildRequestPath(dialect)
+	n.runner.Publish(metrics, n.ownTargetID)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -158,7 +159,7 @@
 	n.runner = localtarget.New(localtarget.Config{
 		Clock: n.clock, Dialect: dialect, Views: n.directory,
 		Admission: n.admission, Pool: n.targetPool, Recorder: n.recorder, Sockets: n.sockets,
-		Bodies: n.bodies, CrashGuard: n.crashGuard,
+		Bodies: n.bodies, CrashGuard: n.crashGuard, Logger: logging.WithPart(n.logger, "target"),
 	})
 	n.retryBudget = forward.NewServiceRetryBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
 	n.handler = forward.New(forward.Config{
@@ -175,6 +176,7 @@
 			Balancer:    passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain)),
 			RetryBudget: n.retryBudget,
 			Recorder:    n.recorder, Random: rand.New(rand.NewPCG(n.incarnation, 3)),
+			Logger: logging.WithPart(n.logger, "passage"),
 		}),
 	})
 }
@@ -279,6 +281,7 @@
 // applyView sets this node's share of the fleet's retry budget, and the number of slots that the local target publishes.
 func (n *Node) applyView(v *directory.View) {
 	n.retryBudget.SetFleetSize(len(v.VMs.VMs))
+	n.handler.Sender.DropUnlistedStatuses(v)
 	if own, ok := n.ownTarget(v); ok {
 		n.setSlots(own.Slots)
 	}
@@ -293,6 +296,16 @@
 	return v.VMs.VMs[i], true
 }
 
+// ownTargetID returns the id of the local target, or "" if the target list does not contain it.
+func (n *Node) ownTargetID() string {
+	v := n.directory.View()
+	if v == nil {
+		return ""
+	}
+	own, _ := n.ownTarget(v)
+	return own.Name
+}
+
 // setSlots sets the maximum number of requests that run at the local target at the same time.
 func (n *Node) setSlots(slots int) {
 	n.admission.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision {
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -3,6 +3,7 @@
 import (
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/targetstatus"
 )
 
 // CallerRequest is the content of the headers of a caller's request.
@@ -39,4 +40,15 @@
 	FromTarget bool
 	// Load is the target's report of its own load, or nil.
 	Load *call.Load
+	// Status is what the target states about itself.
+	Status targetstatus.Report
+}
+
+// HealthAnswer is the content of a target's answer to a health check.
+type HealthAnswer struct {
+	// Target is the id of the target that answered; it is empty if the answer names none.
+	Target string
+	// Healthy is true if the target considers itself healthy and does not leave.
+	Healthy bool
+	Status  targetstatus.Report
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/targetstatus"
 )
 
 // Error is the class of errors about malformed contexts and replies.
@@ -74,6 +75,8 @@
 	// TargetMs is the time that the target took for the request.
 	TargetMs float64   `json:"targetMs,omitempty"`
 	Load     call.Load `json:"load"`
+	// TargetStatus is what the target last stated about itself; nil if it states nothing.
+	TargetStatus *targetstatus.Status `json:"targetStatus,omitempty"`
 }
 
 // OK reports whether the target answered.
@@ -89,6 +92,9 @@
 	if r.Reason == "" && r.Run != call.WasRun {
 		return Error.New("reply has neither a reason nor the run state of a request that the target ran")
 	}
+	if r.TargetStatus != nil {
+		return Error.Wrap(r.TargetStatus.Validate())
+	}
 	return nil
 }
 
