--- /dev/null
+++ b/coltsfootd/mesh/targetstatus_test.go
@@ -0,0 +1,83 @@
+package mesh_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// sendFor sends lookups and operations at all nodes from concurrent callers until the time has passed.
+func (f *fleet) sendFor(t *testing.T, duration time.Duration) {
+	t.Helper()
+	const callersPerNode = 4
+	end := time.Now().Add(duration)
+	var callers sync.WaitGroup
+	for node := range f.nodes {
+		for i := range callersPerNode {
+			callers.Go(func() {
+				for time.Now().Before(end) {
+					if i%2 == 0 {
+						f.send(t, node, http.MethodGet, "/voidlist/1", "secret", "")
+					} else {
+						f.send(t, node, http.MethodPost, "/voids/1", "secret", "x")
+					}
+				}
+			})
+		}
+	}
+	callers.Wait()
+}
+
+// Guards against a target that gets more requests than the limit that it names: the limit holds for the requests of all nodes
+// and callers together. The users allow one and a half times the limit and 5 requests.
+func TestTargetGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
+	f := newFleet(t, "voids", "voids", "riders")
+	f.targets[0].limit.Store("20")
+	f.targets[1].limit.Store("0")
+	// Each target answers once, so that its limit is known.
+	for range 4 {
+		f.send(t, 0, http.MethodGet, "/voidlist/1", "secret", "")
+		f.send(t, 1, http.MethodGet, "/voidlist/1", "secret", "")
+	}
+	first, second := f.targets[0].runs.Load(), f.targets[1].runs.Load()
+	start := time.Now()
+	f.sendFor(t, 2*time.Second)
+	elapsed := time.Since(start).Seconds()
+	limited, stopped := float64(f.targets[0].runs.Load()-first), f.targets[1].runs.Load()-second
+	assert.Assert(t, limited <= 1.5*20*elapsed+5, "%v requests in %v s at a limit of 20", limited, elapsed)
+	assert.Assert(t, stopped <= 5, "%d requests at a limit of 0", stopped)
+	// The target must be used up to its limit, and heard again once it names none.
+	assert.Assert(t, limited >= 20, "only %v requests in %v s at a limit of 20", limited, elapsed)
+	f.targets[1].limit.Store("")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		before := f.targets[1].runs.Load()
+		f.sendFor(t, 100*time.Millisecond)
+		if f.targets[1].runs.Load()-before < 10 {
+			return poll.Continue("the target still gets few requests after its limit has ended")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
+
+// Guards against new requests to a target that says that it leaves while the list still shows it as live, whichever node they
+// come from, and against a target that is never used again after it has stopped saying so.
+func TestTargetThatSaysItLeavesGetsNoNewRequests(t *testing.T) {
+	f := newFleet(t, "voids", "voids", "riders")
+	f.targets[0].leaving.Store(true)
+	f.sendFor(t, 100*time.Millisecond)
+	before := f.targets[0].runs.Load()
+	f.sendFor(t, time.Second)
+	assert.Equal(t, f.targets[0].runs.Load(), before)
+	f.targets[0].leaving.Store(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		f.sendFor(t, 100*time.Millisecond)
+		if f.targets[0].runs.Load() == before {
+			return poll.Continue("the target gets no requests although it no longer leaves")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
