Keep the limit that a target names, at the one gate before it

What callers saw: nothing at first; a target in need got two to three times the requests that it said it takes (LIMIT), which is how it fails. The class: a figure that a target reports and nobody obeys. Why this works: every request to a target, whatever node, caller or target it comes from, passes the gate of the node beside it. The gate starts no more calls per second than the target accepts (token bucket, a tenth of a second of burst), so the limit holds over all nodes without dividing it or telling anybody. Operations keep a reserve, accounts share as in the queue, inner calls go before lookups, which keep their share. A call whose turn would come too late (lookups 50 ms, others 250 ms) is refused as not run and the sender tries other targets, those without a limit first. At a limit of zero a call starts every two seconds, so that the end of the limit is heard. Senders tell the node beside a target what they have learned, which a node that has restarted adopts until the target itself has answered it. Health checks count.

--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -27,8 +27,10 @@
 	// crossDomainDelayMs makes the balancer prefer targets of the own failure domain, because traffic between domains is
 	// expensive.
 	crossDomainDelayMs = 10
-	// maxGateRefusals is the number of gates that may refuse a request before its caller is told to retry later.
-	maxGateRefusals = 3
+	// maxGateRefusals is the number of gates that may refuse a request before its caller is told to retry later. Gates of targets
+	// that name a limit don't count while a target without one is left, up to maxLimitRefusals of them.
+	maxGateRefusals  = 3
+	maxLimitRefusals = 8
 	// defaultRetryAfterMs is the retry delay if no gate said when capacity is expected.
 	defaultRetryAfterMs clock.Millis = 300
 	// targetPollInterval is how often a request that waits for a target looks for one.
@@ -108,7 +110,7 @@
 	last := Result{Reply: dispatch.Reply{Reason: call.ReasonNoTarget, Run: call.NotRun}}
 	excluded := make(map[string]bool)
 	// sent counts the targets that may have started the request, refusals the gates that did not admit it.
-	sent, refusals := 0, 0
+	sent, refusals, limitRefusals := 0, 0, 0
 	mayHaveRun := false
 	waitUntil := s.Clock.Now() + maxTargetWait(j, s.Clock.Now())
 	for {
@@ -134,6 +136,11 @@
 		if reply.Reason == call.ReasonPoisonRequest {
 			return s.finalResult(last, mayHaveRun)
 		}
+		if reply.Reason == call.ReasonTargetLimited {
+			if limitRefusals++; limitRefusals < maxLimitRefusals && s.excludeLimited(j.Service, excluded) {
+				continue
+			}
+		}
 		if reply.Run == call.NotRun && !reply.ShedByTarget {
 			if refusals++; refusals >= maxGateRefusals && reply.Reason.IsOverload() {
 				return s.finalResult(last, mayHaveRun)
@@ -220,7 +227,7 @@
 // attempt sends the job to one target.
 func (s *Sender) attempt(ctx context.Context, v vm.VM, j Job, choice balance.Choice) (dispatch.Reply, *upstream.Response) {
 	now := s.Clock.Now()
-	j.Target = v.Name
+	j.Target, j.TargetStatus = v.Name, s.statuses.get(v.Name)
 	j.TimeoutMs = j.Deadline - now
 	s.Balancer.Started(v.Name, now)
 	start := time.Now()
--- a/coltsfootd/forward/targetstatus.go
+++ b/coltsfootd/forward/targetstatus.go
@@ -11,6 +11,7 @@
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/dispatch"
 	"coltsfootusher.example/core/targetstatus"
+	"coltsfootusher.example/core/vm"
 )
 
 // targetStatuses holds the statuses of targets that this node has learned from replies.
@@ -42,6 +43,41 @@
 	}
 }
 
+// get returns the status of the target, or nil if none is known.
+func (t *targetStatuses) get(target string) *targetstatus.Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.book.Get(target)
+	if s == (targetstatus.Status{}) {
+		return nil
+	}
+	return &s
+}
+
+// excludeLimited excludes the targets of the service that are known to name a limit, if a live one that may get the request has
+// none, and reports whether that is the case.
+func (s *Sender) excludeLimited(service string, excluded map[string]bool) bool {
+	var limited []string
+	unlimitedLeft := false
+	for _, v := range s.Values.View().VMsOfService(service) {
+		if v.State != vm.Live || excluded[v.Name] {
+			continue
+		}
+		if known := s.statuses.get(v.Name); known != nil && known.Limited {
+			limited = append(limited, v.Name)
+		} else {
+			unlimitedLeft = unlimitedLeft || v.PeerAddress == s.Address || s.Peers.Usable(v.PeerAddress)
+		}
+	}
+	if !unlimitedLeft {
+		return false
+	}
+	for _, target := range limited {
+		excluded[target] = true
+	}
+	return true
+}
+
 // DropUnlistedStatuses removes the statuses of targets that are no longer listed.
 func (s *Sender) DropUnlistedStatuses(v *directory.View) {
 	s.statuses.mu.Lock()
--- a/coltsfootd/gateway/admission.go
+++ b/coltsfootd/gateway/admission.go
@@ -121,7 +121,7 @@
 func (a *Admission) Load() call.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.gate.Load()
+	return a.gate.Load(a.clock.Now())
 }
 
 func (a *Admission) deliver(decisions []gate.Decision) {
--- a/coltsfootd/localtarget/health.go
+++ b/coltsfootd/localtarget/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"coltsfootusher.example/coltsfootd/upstream"
@@ -13,12 +14,17 @@
 	ReadHealth(status int, h http.Header) dialect.HealthAnswer
 }
 
+// errNoHealthPath means that the published values contain no health check path for the local target.
+var errNoHealthPath = errors.New("no health check path is published")
+
 // HealthProber checks the health of the local target.
 type HealthProber struct {
 	service string
 	dialect HealthDialect
 	pool    *upstream.Pool
 	views   Views
+	// countRequest counts a health check as a request to the target.
+	countRequest func()
 }
 
 // NewHealthProber returns a prober of the local target, which belongs to the service and is reached through the pool.
@@ -26,28 +32,35 @@
 	return &HealthProber{service: service, dialect: dialect, pool: pool}
 }
 
-// SetViews sets the source of the published health check path. It must be called before Serves.
-func (h *HealthProber) SetViews(views Views) {
-	h.views = views
+// Attach sets the source of the published health check path, and the function that counts a health check as a request to the
+// target. It must be called before any check.
+func (h *HealthProber) Attach(views Views, countRequest func()) {
+	h.views, h.countRequest = views, countRequest
 }
 
 // Serves reports whether the local target has this id, serves, and is not leaving.
 func (h *HealthProber) Serves(ctx context.Context, id string) bool {
+	answer, err := h.Check(ctx)
+	return err == nil && answer.Target == id && answer.Healthy && !answer.Status.Leaving
+}
+
+// Check sends a health check to the local target and returns its answer.
+func (h *HealthProber) Check(ctx context.Context) (dialect.HealthAnswer, error) {
 	v := h.views.View()
 	if v == nil {
-		return false
+		return dialect.HealthAnswer{}, errNoHealthPath
 	}
 	published, known := v.Service(h.service)
 	if !known || published.HealthPath == "" {
-		return false
+		return dialect.HealthAnswer{}, errNoHealthPath
 	}
+	h.countRequest()
 	response, err := h.pool.Do(ctx, &upstream.Request{
 		Method: http.MethodGet, URI: published.HealthPath, Host: h.pool.Address(), Header: http.Header{},
 	})
 	if err != nil {
-		return false
+		return dialect.HealthAnswer{}, err
 	}
 	response.Close()
-	answer := h.dialect.ReadHealth(response.Status, response.Header)
-	return answer.Target == id && answer.Healthy && !answer.Status.Leaving
+	return h.dialect.ReadHealth(response.Status, response.Header), nil
 }
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -76,7 +76,19 @@
 
 // New returns a runner with these dependencies.
 func New(c Config) *Runner {
-	return &Runner{Config: c, status: newStatusMonitor(c.Logger, c.Clock.Now())}
+	r := &Runner{Config: c}
+	r.status = newStatusMonitor(c.Logger, r.applyLimit, c.Clock.Now())
+	return r
+}
+
+// applyLimit limits the requests that the gate starts per second to what the target accepts.
+func (r *Runner) applyLimit(s targetstatus.Status) {
+	r.Admission.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision {
+		if s.Limited {
+			return g.SetRateLimit(s.LimitPerSecond, now)
+		}
+		return g.RemoveRateLimit(now)
+	})
 }
 
 // Publish exports the counters and the status of the target, whose id target returns, as metrics.
@@ -115,6 +127,9 @@
 func (r *Runner) run(
 	ctx context.Context, c dispatch.Context, request *upstream.Request, received clock.Millis,
 ) (dispatch.Reply, *upstream.Response) {
+	if c.TargetStatus != nil {
+		r.status.adopt(c.Target, *c.TargetStatus)
+	}
 	if r.targetLeaving(c.Target) {
 		return refuse(call.ReasonLeaving), nil
 	}
@@ -213,6 +228,7 @@
 	case said.WrongTarget:
 		response.Close()
 		r.absentTargets.add(c.Target, r.Clock.Now())
+		r.status.forget(c.Target)
 		return refuse(call.ReasonNoTarget), nil
 	case said.NotRun:
 		response.Close()
--- a/coltsfootd/localtarget/status.go
+++ b/coltsfootd/localtarget/status.go
@@ -18,6 +18,8 @@
 // statusMonitor holds the status of the local target and logs what the target states and what it gets.
 type statusMonitor struct {
 	logger log.Logger
+	// limitChanged applies the limit that the target names. It is called with the lock held, so that changes are applied in order.
+	limitChanged func(s targetstatus.Status)
 	// requests counts the requests sent to the target, unreadable the statuses that could not be read.
 	requests, unreadable expvar.Int
 
@@ -29,8 +31,8 @@
 	errLoggedAt  clock.Millis
 }
 
-func newStatusMonitor(logger log.Logger, now clock.Millis) *statusMonitor {
-	return &statusMonitor{logger: logger, countedSince: now, errLoggedAt: now - statusLogIntervalMs}
+func newStatusMonitor(logger log.Logger, limitChanged func(s targetstatus.Status), now clock.Millis) *statusMonitor {
+	return &statusMonitor{logger: logger, limitChanged: limitChanged, countedSince: now, errLoggedAt: now - statusLogIntervalMs}
 }
 
 // publish exports the counters and the status of the target as metrics.
@@ -55,10 +57,34 @@
 		m.logUnreadable(target, err, now)
 	}
 	if s, changed := m.tracker.Observe(target, r); changed {
-		m.logChange(target, s, "target")
+		m.apply(target, s, "target")
 	}
 }
 
+// adopt takes what another node has learned of the target, if this node has no answer of the target yet.
+func (m *statusMonitor) adopt(target string, s targetstatus.Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.tracker.Adopt(target, s) {
+		m.apply(target, s, "peer")
+	}
+}
+
+// forget drops the status of a target that no longer serves at the address.
+func (m *statusMonitor) forget(target string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if previous := m.tracker.Status(target); m.tracker.Forget(target) && previous != (targetstatus.Status{}) {
+		m.apply(target, targetstatus.Status{}, "another target answers")
+	}
+}
+
+// apply puts a changed status into force.
+func (m *statusMonitor) apply(target string, s targetstatus.Status, source string) {
+	m.logChange(target, s, source)
+	m.limitChanged(s)
+}
+
 func (m *statusMonitor) logUnreadable(target string, err error, now clock.Millis) {
 	if now-m.errLoggedAt < statusLogIntervalMs {
 		return
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -162,6 +162,9 @@
 	latest targetRequest
 }
 
+// healthPath is the path of health checks, which don't count as runs.
+const healthPath = "/health"
+
 // crashPath is the path of a request that crashes each target that runs it.
 const crashPath = "/voids/deadly"
 
@@ -195,6 +198,10 @@
 
 // ServeHTTP runs a request.
 func (tg *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		tg.writeHeaders(w, r)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	tg.mu.Lock()
 	tg.latest = targetRequest{uri: r.RequestURI, body: string(body), header: r.Header}
@@ -211,6 +218,11 @@
 	if tg.holdRequests.Load() {
 		<-tg.release
 	}
+	tg.writeHeaders(w, r)
+	_, _ = fmt.Fprintf(w, "%s ran it", tg.id)
+}
+
+func (tg *fakeTarget) writeHeaders(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("By", tg.id)
 	if limit, _ := tg.limit.Load().(string); limit != "" {
@@ -219,7 +231,6 @@
 	if tg.leaving.Load() {
 		w.Header().Set("Leaving", "1")
 	}
-	_, _ = fmt.Fprintf(w, "%s ran it", tg.id)
 }
 
 type node struct {
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -92,6 +92,7 @@
 	latency     *metric.Latency
 	retryBudget *forward.ServiceRetryBudget
 	targetPool  *upstream.Pool
+	health      *localtarget.HealthProber
 
 	entryServer, peerServer *server
 	plainServers            []*http.Server
@@ -127,15 +128,14 @@
 		MaxIdle: n.sockets.MaxIdleToTarget(), EchoHeader: dialect.EchoHeader(), BufferBytes: targetBufferBytes,
 		Sockets: n.sockets,
 	})
-	health := localtarget.NewHealthProber(s.Service, dialect, n.targetPool)
+	n.health = localtarget.NewHealthProber(s.Service, dialect, n.targetPool)
 	n.directory = directory.New(directory.Config{
-		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: health, FailureDomain: s.FailureDomain,
+		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: n.health, FailureDomain: s.FailureDomain,
 		Incarnation: n.incarnation,
 		LeaseMs:     s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Platform: source, Peers: n.peers,
 		Logger: logging.WithPart(n.logger, "directory"),
 	})
 	n.directory.Publish(metrics)
-	health.SetViews(n.directory)
 	n.limiter = quotas.New(quotas.Config{
 		Address: s.PeerAddress, Clock: n.clock, Values: n.directory, Peers: n.peers, Logger: logging.WithPart(n.logger, "quota"),
 	})
@@ -155,6 +155,7 @@
 		Logger: logging.WithPart(n.logger, "crash"),
 	})
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
+	n.health.Attach(n.directory, n.chargeRate)
 	n.setSlots(initialSlots)
 	n.runner = localtarget.New(localtarget.Config{
 		Clock: n.clock, Dialect: dialect, Views: n.directory,
@@ -313,6 +314,14 @@
 	})
 }
 
+// chargeRate counts a request to the local target that does not pass through the gate.
+func (n *Node) chargeRate() {
+	n.admission.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision {
+		g.ChargeRate(now)
+		return nil
+	})
+}
+
 // ready reports whether callers should use this node: its policy is confirmed, the node is not leaving, and it reaches a
 // target of every service.
 func (n *Node) ready() bool {
--- a/coltsfootd/mesh/mesh_test.go
+++ b/coltsfootd/mesh/mesh_test.go
@@ -18,6 +18,7 @@
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/service"
 )
 
 // Guards against passing the caller's key, or the account and service that it claims, to a target, and against changing the
@@ -186,6 +187,7 @@
 	return published.Policy{
 		Version: 5, KeysRequired: true,
 		Accounts: []account.Account{{ID: "a1", KeyHashes: []string{account.HashKey("secret")}}},
+		Services: []service.Service{{Name: "voids", HealthPath: healthPath}},
 		Routes: []route.Route{
 			{Prefix: "/voids/", Service: "voids", Class: route.NonIdempotent, TimeoutMs: 30_000, ObjectiveMs: 1000, MaxTargets: 2},
 			{Prefix: "/voidlist/", Service: "voids", Class: route.Lookup, TimeoutMs: 30_000, ObjectiveMs: 1000, MaxTargets: 2},
--- a/core/call/reason.go
+++ b/core/call/reason.go
@@ -21,6 +21,7 @@
 	ReasonOverRate              Reason = "overRate"
 	ReasonOverloaded            Reason = "overloaded"
 	ReasonQueueTimeout          Reason = "queueTimeout"
+	ReasonTargetLimited         Reason = "targetLimited"
 	ReasonDeadlineTooClose      Reason = "deadlineTooClose"
 	ReasonLeaving               Reason = "leaving"
 	ReasonNoTarget              Reason = "noTarget"
@@ -66,6 +67,7 @@
 	ReasonOverRate:              http.StatusTooManyRequests,
 	ReasonOverloaded:            http.StatusServiceUnavailable,
 	ReasonQueueTimeout:          http.StatusServiceUnavailable,
+	ReasonTargetLimited:         http.StatusServiceUnavailable,
 	ReasonDeadlineTooClose:      http.StatusServiceUnavailable,
 	ReasonLeaving:               http.StatusServiceUnavailable,
 	ReasonNoTarget:              http.StatusServiceUnavailable,
@@ -113,7 +115,7 @@
 // Retryable reports whether a lookup that was refused for this reason may be retried at another target.
 func (r Reason) Retryable() bool {
 	switch r {
-	case ReasonOverloaded, ReasonQueueTimeout, ReasonLeaving, ReasonTargetDown, ReasonTargetFailed,
+	case ReasonOverloaded, ReasonQueueTimeout, ReasonTargetLimited, ReasonLeaving, ReasonTargetDown, ReasonTargetFailed,
 		ReasonNodeUnreachable, ReasonAnswerMismatch, ReasonAnswerTruncated, ReasonAnswerOversized, ReasonNotReady,
 		ReasonSuspectElsewhere:
 		return true
@@ -124,5 +126,10 @@
 
 // IsOverload reports whether the reason means that a target has no capacity for the call.
 func (r Reason) IsOverload() bool {
-	return r == ReasonOverloaded || r == ReasonQueueTimeout || r == ReasonDeadlineTooClose
+	switch r {
+	case ReasonOverloaded, ReasonQueueTimeout, ReasonTargetLimited, ReasonDeadlineTooClose:
+		return true
+	default:
+		return false
+	}
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -43,6 +43,9 @@
 	Attempt int `json:"attempt,omitempty"`
 	// Repeated is the probability that the request is a retry, or an inner call of one.
 	Repeated float64 `json:"repeated,omitempty"`
+	// TargetStatus is what the sender has learned of the target's statements about itself, in case the node beside the target has
+	// restarted since; nil if it knows of none.
+	TargetStatus *targetstatus.Status `json:"targetStatus,omitempty"`
 }
 
 // Validate returns an error for the first field that is missing or out of range.
@@ -56,6 +59,8 @@
 		return Error.New("context has a negative timeout or attempt")
 	case c.Repeated < 0 || c.Repeated > 1:
 		return Error.New("context has the probability %v", c.Repeated)
+	case c.TargetStatus != nil:
+		return Error.Wrap(c.TargetStatus.Validate())
 	}
 	return nil
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -103,7 +103,9 @@
 	running        map[uint64]runningCall
 	runningLookups int
 	queue          *queue
-	serviceTimes   map[route.Class]*serviceTimeEstimate
+	// rate is nil while the rate of calls is not limited.
+	rate         *rateLimit
+	serviceTimes map[route.Class]*serviceTimeEstimate
 
 	leaving         bool
 	targetStartedAt clock.Millis
@@ -163,23 +165,19 @@
 // A request without a decision waits; its decision is returned by a later call of a method.
 func (g *Gate) Offer(r Request, now clock.Millis) []Decision {
 	if g.leaving {
-		return g.refuse(nil, r, call.ReasonLeaving)
+		return g.refuse(nil, r, call.ReasonLeaving, now)
 	}
 	if !g.config.Enabled {
-		return g.start(nil, g.account(r), r)
+		return g.start(nil, g.account(r), r, now)
 	}
 	if reason := g.deadlineReason(r, now); reason != "" {
-		return g.refuse(nil, r, reason)
+		return g.refuse(nil, r, reason, now)
 	}
 	if g.queue.len() == 0 {
 		g.queueNonEmptySince = now
 	}
 	g.enqueue(r)
-	decisions := g.dispatch(now, nil)
-	if g.queueOverLimit() {
-		decisions = g.evict(decisions, now)
-	}
-	return decisions
+	return g.evictOverLimit(g.dispatch(now, nil), now)
 }
 
 // Done reports that an admitted call has finished. A call that is not running is ignored.
@@ -228,7 +226,7 @@
 }
 
 // Load returns the current load, which is reported to callers.
-func (g *Gate) Load() call.Load {
+func (g *Gate) Load(now clock.Millis) call.Load {
 	limit := g.config.Slots
 	if g.config.Enabled {
 		limit = min(limit, g.limiter.Limit())
@@ -237,7 +235,7 @@
 		Running: len(g.running),
 		Waiting: g.queue.len(),
 		Limit:   limit,
-		WaitMs:  clock.Millis(g.expectedWaitMs()),
+		WaitMs:  clock.Millis(g.expectedWaitMs(now)),
 		Leaving: g.leaving,
 	}
 }
@@ -260,7 +258,7 @@
 			continue
 		}
 		g.queue.chargeAccount(w)
-		decisions = g.start(decisions, g.account(w.request), w.request)
+		decisions = g.start(decisions, g.account(w.request), w.request, now)
 	}
 }
 
@@ -269,8 +267,7 @@
 func (g *Gate) next(now clock.Millis) *waiter {
 	newestFirst := g.useNewestFirst(now)
 	w := g.queue.peek(newestFirst)
-	if w == nil || !w.request.isInnerNonIdempotent() ||
-		float64(g.runningLookups) >= g.config.LookupShare*float64(g.slowStartSlots(now)) {
+	if w == nil || !w.request.isInnerNonIdempotent() || !g.lookupsBelowShare(now) {
 		return w
 	}
 	if lookup := g.queue.peekLookup(newestFirst); lookup != nil && g.hasRoom(route.Lookup, now) {
@@ -279,6 +276,15 @@
 	return w
 }
 
+// lookupsBelowShare reports whether lookups have started less than their share of the slots, or of the starts while the rate is
+// limited.
+func (g *Gate) lookupsBelowShare(now clock.Millis) bool {
+	if g.rate != nil {
+		return g.rate.lookupCredit >= 1
+	}
+	return float64(g.runningLookups) < g.config.LookupShare*float64(g.slowStartSlots(now))
+}
+
 // isInnerNonIdempotent reports whether the request is an inner call that has the rank of a non-idempotent operation.
 func (r Request) isInnerNonIdempotent() bool {
 	return r.Class == route.NonIdempotent && r.Depth > 0
@@ -290,6 +296,9 @@
 	if !g.config.Enabled {
 		return true
 	}
+	if !g.rate.allows(class, now) {
+		return false
+	}
 	limit := g.slowStartSlots(now)
 	if class == route.Lookup {
 		if now == g.nonIdempotentRefusedAt {
@@ -317,13 +326,24 @@
 
 // queueOverLimit reports whether a waiting call must be evicted. Non-idempotent calls may exceed the queue limit
 // as long as there is a running lookup for each of them whose slot it can take over.
-func (g *Gate) queueOverLimit() bool {
+func (g *Gate) queueOverLimit(now clock.Millis) bool {
+	if g.rate != nil && g.rateQueueOverLimit(now) {
+		return true
+	}
 	if g.queue.lookups > 0 {
 		return g.queue.len() > g.config.QueueLimit
 	}
 	return g.queue.len() > max(g.config.QueueLimit, g.runningLookups)
 }
 
+// evictOverLimit refuses waiting calls until the queue is within its limit.
+func (g *Gate) evictOverLimit(decisions []Decision, now clock.Millis) []Decision {
+	for g.queueOverLimit(now) {
+		decisions = g.evict(decisions, now)
+	}
+	return decisions
+}
+
 // evict refuses the lowest-ranked waiting call of the account that exceeds its fair share the most. Lookups are evicted before
 // non-idempotent calls, except that inner non-idempotent calls are evicted before lookups within their share of the queue.
 func (g *Gate) evict(decisions []Decision, now clock.Millis) []Decision {
@@ -332,13 +352,25 @@
 		class = route.Lookup
 	}
 	w := g.queue.evictionCandidate(class, g.useNewestFirst(now))
-	if class == route.Lookup && float64(g.queue.lookups) <= g.config.LookupShare*float64(g.config.QueueLimit) {
+	if class == route.Lookup && float64(g.queue.lookups) <= g.config.LookupShare*g.queueLimit() {
 		if inner := g.queue.innerEvictionCandidate(); inner != nil {
 			w = inner
 		}
 	}
 	g.remove(w)
-	return g.refuseQueued(decisions, w, call.ReasonOverloaded, now)
+	reason := call.ReasonOverloaded
+	if g.rate != nil {
+		reason = call.ReasonTargetLimited
+	}
+	return g.refuseQueued(decisions, w, reason, now)
+}
+
+// queueLimit returns the number of calls that may wait. While the rate is limited, those are fewer.
+func (g *Gate) queueLimit() float64 {
+	if g.rate != nil {
+		return min(float64(g.config.QueueLimit), g.rate.queueLimit())
+	}
+	return float64(g.config.QueueLimit)
 }
 
 // deadlineReason returns the reason to refuse a request that cannot finish before its deadline, or "" when it can.
@@ -360,6 +392,9 @@
 	if reason := g.deadlineReason(r, now); reason != "" {
 		return reason
 	}
+	if g.rate != nil && now-r.Arrival >= rateWaitLimit(r.Class) {
+		return call.ReasonTargetLimited
+	}
 	if r.Class == route.Lookup && g.config.QueueTimeoutMs > 0 && now-r.Arrival >= g.config.QueueTimeoutMs {
 		return call.ReasonQueueTimeout
 	}
@@ -371,14 +406,15 @@
 	if w.request.Class == route.NonIdempotent && !(g.config.LookupShare > 0 && w.request.isInnerNonIdempotent()) {
 		g.nonIdempotentRefusedAt = now
 	}
-	return g.refuse(decisions, w.request, reason)
+	return g.refuse(decisions, w.request, reason, now)
 }
 
-func (g *Gate) refuse(decisions []Decision, r Request, reason call.Reason) []Decision {
-	return append(decisions, Decision{ID: r.ID, Reason: reason, RetryAfterMs: g.retryAfterMs()})
+func (g *Gate) refuse(decisions []Decision, r Request, reason call.Reason, now clock.Millis) []Decision {
+	return append(decisions, Decision{ID: r.ID, Reason: reason, RetryAfterMs: g.retryAfterMs(now)})
 }
 
-func (g *Gate) start(decisions []Decision, a *account, r Request) []Decision {
+func (g *Gate) start(decisions []Decision, a *account, r Request, now clock.Millis) []Decision {
+	g.rate.chargeStart(r, g.config.LookupShare, now)
 	g.running[r.ID] = runningCall{class: r.Class, account: a}
 	a.running++
 	if r.Class == route.Lookup {
@@ -421,7 +457,15 @@
 }
 
 // expectedWaitMs estimates the time in the queue for a call that arrives now.
-func (g *Gate) expectedWaitMs() float64 {
+func (g *Gate) expectedWaitMs(now clock.Millis) float64 {
+	if g.rate == nil {
+		return g.expectedSlotWaitMs()
+	}
+	return max(g.expectedSlotWaitMs(), float64(g.rate.waitMs(g.queue.len()+1, now)))
+}
+
+// expectedSlotWaitMs estimates the time until a slot is free for a call that arrives now.
+func (g *Gate) expectedSlotWaitMs() float64 {
 	limit := max(1, min(g.config.Slots, g.limiter.Limit()))
 	if !g.config.Enabled || len(g.running) < limit && g.queue.len() == 0 {
 		return 0
@@ -431,7 +475,7 @@
 }
 
 // retryAfterMs returns the expected wait with jitter of 0.5 to 1.5 times, so that refused callers do not retry together.
-func (g *Gate) retryAfterMs() clock.Millis {
-	waitMs := min(max(g.expectedWaitMs(), minRetryAfterMs), maxRetryAfterMs)
+func (g *Gate) retryAfterMs(now clock.Millis) clock.Millis {
+	waitMs := min(max(g.expectedWaitMs(now), minRetryAfterMs), maxRetryAfterMs)
 	return clock.Millis(waitMs * (0.5 + g.random.Float64()))
 }
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -130,7 +130,7 @@
 	decisions := g.Tick(60)
 	assert.Equal(t, len(decisions), 1)
 	assert.Equal(t, decisions[0].Reason, call.ReasonQueueTimeout)
-	assert.Equal(t, g.Load(), call.Load{Running: 1, Waiting: 1, Limit: 1, WaitMs: 200})
+	assert.Equal(t, g.Load(60), call.Load{Running: 1, Waiting: 1, Limit: 1, WaitMs: 200})
 }
 
 // After the target was slow for a time, the service time estimate must not make the gate refuse every call permanently.
@@ -152,11 +152,11 @@
 	for id := range uint64(12) {
 		g.Offer(lookup(id, "a", 0), 0)
 	}
-	assert.Equal(t, g.Load().Running, 1)
+	assert.Equal(t, g.Load(0).Running, 1)
 	g.Tick(500)
-	assert.Equal(t, g.Load().Running, 5)
+	assert.Equal(t, g.Load(500).Running, 5)
 	g.Tick(1000)
-	assert.Equal(t, g.Load().Running, 10)
+	assert.Equal(t, g.Load(1000).Running, 10)
 }
 
 // A leaving gate must refuse new calls but keep the waiting ones, and no limit may apply while the policy is off.
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -44,6 +44,18 @@
 	b.tokens = min(b.tokens, tokens)
 }
 
+// Tokens returns the number of tokens, which is negative after more were deducted than there were.
+func (b *Bucket) Tokens(now clock.Millis) float64 {
+	b.refill(now)
+	return b.tokens
+}
+
+// Deduct removes one token, even if there is none.
+func (b *Bucket) Deduct(now clock.Millis) {
+	b.refill(now)
+	b.tokens--
+}
+
 // Take removes up to want whole tokens and returns their number. A bucket whose burst is below one token grants one when
 // it is full, because a small share of a small burst would otherwise never grant anything.
 func (b *Bucket) Take(want int, now clock.Millis) int {
--- a/standin/capacity/call.go
+++ b/standin/capacity/call.go
@@ -47,8 +47,8 @@
 			}
 			offer()
 		}))
-		if g.Load().Running != slots {
-			return Error.New("gate: %d calls run, expected %d", g.Load().Running, slots)
+		if g.Load(0).Running != slots {
+			return Error.New("gate: %d calls run, expected %d", g.Load(0).Running, slots)
 		}
 	}
 	r.slope("gate", "callCpuMicros", "WaitingCall")
