Send nothing more to a target that says that it leaves

Cause: nobody read the statement; the same class as the limit. The list was the only source. Evidence: TestTargetThatSaysItLeavesGetsNoNewRequests failed before: 5,857 further requests in 1 s. Why this works: the node beside the target refuses requests for it as not run, also those that have waited at its gate, from the first answer that says so; the reply tells the sender, whose balancer chooses others. A sender that asks again says what it has learned, so that a node that has restarted beside the target refuses too. As no request shows that a target stays after all, the node asks its health path, at most once a second and only while somebody wants to send it something. The statement belongs to the target's id: another target at the address is not concerned.

--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -49,9 +49,15 @@
 	Sockets    Sockets
 	Bodies     *body.Budget
 	CrashGuard CrashGuard
+	Health     HealthChecker
 	Logger     log.Logger
 }
 
+// HealthChecker checks the health of the local target.
+type HealthChecker interface {
+	Check(ctx context.Context) (dialect.HealthAnswer, error)
+}
+
 // CrashGuard identifies requests that crash the target.
 type CrashGuard interface {
 	// Enter reports whether the request may be sent to the target. If it may, Leave must be called.
@@ -119,6 +125,7 @@
 	reply.Load = r.Admission.Load()
 	if s := r.status.status(c.Target); s != (targetstatus.Status{}) {
 		reply.TargetStatus = &s
+		reply.Load.Leaving = reply.Load.Leaving || s.Leaving
 	}
 	r.record(c, reply, received)
 	return reply, response
@@ -130,7 +137,7 @@
 	if c.TargetStatus != nil {
 		r.status.adopt(c.Target, *c.TargetStatus)
 	}
-	if r.targetLeaving(c.Target) {
+	if r.targetLeaving(c.Target) || r.saysItLeaves(c.Target) {
 		return refuse(call.ReasonLeaving), nil
 	}
 	if r.absentTargets.contains(c.Target, received) {
@@ -173,6 +180,28 @@
 	return listed && own.State == vm.Leaving
 }
 
+// saysItLeaves reports whether the target has stated that it leaves. From time to time a health check finds out whether it still
+// does, because it gets no requests whose answers would tell.
+func (r *Runner) saysItLeaves(target string) bool {
+	if !r.status.status(target).Leaving {
+		return false
+	}
+	if r.status.startCheck(r.Clock.Now()) {
+		go r.checkLeaving(target)
+	}
+	return true
+}
+
+func (r *Runner) checkLeaving(target string) {
+	defer r.status.finishCheck()
+	ctx, cancel := context.WithTimeout(context.Background(), leavingCheckTimeout)
+	defer cancel()
+	answer, err := r.Health.Check(ctx)
+	if err == nil && answer.Healthy && answer.Target == target {
+		r.status.observe(target, answer.Status, r.Clock.Now())
+	}
+}
+
 func (r *Runner) admit(ctx context.Context, c dispatch.Context, now, deadline clock.Millis) gate.Decision {
 	class := c.Class
 	depth := 0
@@ -196,6 +225,10 @@
 	if left <= 0 {
 		return refuse(call.ReasonDeadlineExceeded), nil
 	}
+	if r.saysItLeaves(c.Target) {
+		// The target has said so while the request waited for its turn.
+		return refuse(call.ReasonLeaving), nil
+	}
 	fingerprint := poison.Fingerprint(c.Account, c.Route, request.Method, request.URI, poison.HashBody(request.Body))
 	ticket, ok := r.CrashGuard.Enter(fingerprint)
 	if !ok {
--- a/coltsfootd/localtarget/status.go
+++ b/coltsfootd/localtarget/status.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -15,6 +16,13 @@
 // two lines about statuses that can't be read.
 const statusLogIntervalMs clock.Millis = 1000
 
+const (
+	// leavingCheckIntervalMs is the shortest time between two health checks of a target that has said that it leaves. No other
+	// request shows whether it still does.
+	leavingCheckIntervalMs clock.Millis = 1000
+	leavingCheckTimeout                 = 400 * time.Millisecond
+)
+
 // statusMonitor holds the status of the local target and logs what the target states and what it gets.
 type statusMonitor struct {
 	logger log.Logger
@@ -29,6 +37,9 @@
 	sent         int
 	countedSince clock.Millis
 	errLoggedAt  clock.Millis
+	// checking is true while a health check finds out whether the target still leaves; the next one follows after checkAfter.
+	checking   bool
+	checkAfter clock.Millis
 }
 
 func newStatusMonitor(logger log.Logger, limitChanged func(s targetstatus.Status), now clock.Millis) *statusMonitor {
@@ -85,6 +96,23 @@
 	m.limitChanged(s)
 }
 
+// startCheck reports whether a health check must find out now whether the leaving target still leaves. finishCheck must follow.
+func (m *statusMonitor) startCheck(now clock.Millis) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.checking || now < m.checkAfter {
+		return false
+	}
+	m.checking, m.checkAfter = true, now+leavingCheckIntervalMs
+	return true
+}
+
+func (m *statusMonitor) finishCheck() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.checking = false
+}
+
 func (m *statusMonitor) logUnreadable(target string, err error, now clock.Millis) {
 	if now-m.errLoggedAt < statusLogIntervalMs {
 		return
