--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -234,6 +234,7 @@
 }
 
 type node struct {
+	settings         meshsetting.Settings
 	entry, readiness string
 	metrics          *expvar.Map
 	stop             context.CancelFunc
@@ -279,20 +280,25 @@
 		f.start(t, s)
 	}
 	for i := range f.nodes {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if !f.ready(i) {
-				return poll.Continue("node %d is not ready", i)
-			}
-			// A node that was probed before it listened counts as unreachable until the next probe.
-			if lost := f.nodes[i].metrics.Get("peersLost").String(); lost != "0" {
-				return poll.Continue("node %d counts %s unreachable peers", i, lost)
-			}
-			return poll.Success()
-		}, poll.WithTimeout(30*time.Second))
+		f.waitUntilReady(t, i)
 	}
 	return f
 }
 
+func (f *fleet) waitUntilReady(t *testing.T, i int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !f.ready(i) {
+			return poll.Continue("node %d is not ready", i)
+		}
+		// A node that was probed before it listened counts as unreachable until the next probe.
+		if lost := f.nodes[i].metrics.Get("peersLost").String(); lost != "0" {
+			return poll.Continue("node %d counts %s unreachable peers", i, lost)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
+
 func (f *fleet) start(t *testing.T, s meshsetting.Settings) {
 	t.Helper()
 	metrics := new(expvar.Map).Init()
@@ -300,13 +306,25 @@
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	running := &node{
-		entry: s.EntryAddress, readiness: s.ReadinessAddress, metrics: metrics, stop: stop, done: make(chan error, 1),
+		settings: s, entry: s.EntryAddress, readiness: s.ReadinessAddress, metrics: metrics, stop: stop, done: make(chan error, 1),
 	}
 	go func() { running.done <- n.Run(ctx) }()
 	t.Cleanup(stop)
 	f.nodes = append(f.nodes, running)
 }
 
+// restart stops node i, starts a new process with the same settings in its place, and waits until the others use it.
+func (f *fleet) restart(t *testing.T, i int) {
+	t.Helper()
+	old := f.nodes[i]
+	old.stop()
+	assert.NilError(t, <-old.done)
+	f.start(t, old.settings)
+	last := len(f.nodes) - 1
+	f.nodes[i], f.nodes = f.nodes[last], f.nodes[:last]
+	f.waitUntilReady(t, i)
+}
+
 func (f *fleet) ready(i int) bool {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+f.nodes[i].readiness+"/", nil)
 	if err != nil {
--- a/coltsfootd/mesh/targetstatus_test.go
+++ b/coltsfootd/mesh/targetstatus_test.go
@@ -81,3 +81,47 @@
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second))
 }
+
+// Guards against a node beside a target that forgets the target's limit when it restarts, and lets through as many requests as the
+// target has slots before the first answer names the limit again.
+func TestRestartedNodeKeepsTheLimitThatOthersHaveHeard(t *testing.T) {
+	f := newFleet(t, "voids", "riders")
+	f.targets[0].limit.Store("0")
+	assert.Equal(t, f.send(t, 1, http.MethodGet, "/voidlist/1", "secret", "").status, http.StatusOK)
+	f.restart(t, 0)
+	f.targets[0].holdRequests.Store(true)
+	before := f.targets[0].runs.Load()
+	var callers sync.WaitGroup
+	for range 20 {
+		callers.Go(func() { f.send(t, 1, http.MethodGet, "/short/1", "secret", "") })
+	}
+	callers.Wait()
+	got := f.targets[0].runs.Load() - before
+	assert.Assert(t, got <= 2, "%d requests at once at a limit of 0", got)
+}
+
+// Guards against a node that restarts beside a target that leaves, and sends it requests of nodes that have heard that it leaves.
+func TestRestartedNodeRefusesForATargetThatOthersHaveHeardLeaving(t *testing.T) {
+	f := newFleet(t, "voids", "riders")
+	f.targets[0].leaving.Store(true)
+	assert.Equal(t, f.send(t, 1, http.MethodGet, "/voidlist/1", "secret", "").status, http.StatusOK)
+	f.restart(t, 0)
+	before := f.targets[0].runs.Load()
+	for range 20 {
+		assert.Equal(t, f.send(t, 1, http.MethodGet, "/voidlist/1", "secret", "").status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, f.targets[0].runs.Load(), before)
+}
+
+// Guards against a malformed limit that costs the caller its answer, or that lifts the limit in force.
+func TestMalformedLimitIsLeftAndTheAnswerDelivered(t *testing.T) {
+	f := newFleet(t, "voids")
+	f.targets[0].limit.Store("5")
+	f.send(t, 0, http.MethodGet, "/voidlist/1", "secret", "")
+	f.targets[0].limit.Store("many")
+	f.waitForStatus(t, 0, "/voidlist/1", "secret", http.StatusOK)
+	before, start := f.targets[0].runs.Load(), time.Now()
+	f.sendFor(t, time.Second)
+	got, elapsed := float64(f.targets[0].runs.Load()-before), time.Since(start).Seconds()
+	assert.Assert(t, got <= 1.5*5*elapsed+5, "%v requests in %v s at a limit of 5", got, elapsed)
+}
