Let the soak's targets name limits and say that they leave

Cause: neither tests nor soak had targets that state anything about themselves, so that nobody noticed that nodes ignore it. Change: the stand-in target of platform/ can name a limit and say that it leaves; the soak plays both as faults beside the others and checks that the limit holds over all nodes (from 3 s after it is first named, in any 4 s, 1.5 times the limit and 5 requests) and that a node which has passed on that a target leaves sends it nothing 2 s later. The line a second of a limited target also tells what was refused. A test with one target without a limit among five, and a benchmark of the gate at a limit.

--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -148,6 +148,9 @@
 	defer cancel()
 	d := r.admit(waiting, c, received, deadline)
 	if !d.Admitted {
+		if d.Reason == call.ReasonTargetLimited {
+			r.status.countRefused()
+		}
 		reply := refuse(d.Reason)
 		reply.RetryAfterMs = d.RetryAfterMs
 		return reply, nil
--- a/coltsfootd/localtarget/status.go
+++ b/coltsfootd/localtarget/status.go
@@ -33,10 +33,10 @@
 
 	mu      sync.Mutex
 	tracker targetstatus.Tracker
-	// sent is the number of requests sent since countedSince, while the target names a limit.
-	sent         int
-	countedSince clock.Millis
-	errLoggedAt  clock.Millis
+	// sent and refused are the numbers of requests sent to the target, and refused for its limit, since countedSince.
+	sent, refused int
+	countedSince  clock.Millis
+	errLoggedAt   clock.Millis
 	// checking is true while a health check finds out whether the target still leaves; the next one follows after checkAfter.
 	checking   bool
 	checkAfter clock.Millis
@@ -135,9 +135,16 @@
 	if elapsed := now - m.countedSince; elapsed >= statusLogIntervalMs {
 		if s.Limited && m.sent > 0 {
 			_ = level.Info(m.logger).Log("msg", "requests sent to a target with a limit", "target", target, "sent", m.sent,
-				"periodMs", int64(elapsed), "limitPerSecond", s.LimitPerSecond)
+				"refused", m.refused, "periodMs", int64(elapsed), "limitPerSecond", s.LimitPerSecond)
 		}
-		m.sent, m.countedSince = 0, now
+		m.sent, m.refused, m.countedSince = 0, 0, now
 	}
 	m.sent++
 }
+
+// countRefused counts a request that was refused because of the target's limit.
+func (m *statusMonitor) countRefused() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused++
+}
--- a/coltsfootd/mesh/targetstatus_test.go
+++ b/coltsfootd/mesh/targetstatus_test.go
@@ -125,3 +125,22 @@
 	got, elapsed := float64(f.targets[0].runs.Load()-before), time.Since(start).Seconds()
 	assert.Assert(t, got <= 1.5*5*elapsed+5, "%v requests in %v s at a limit of 5", got, elapsed)
 }
+
+// Guards against requests that are refused at targets with a limit while another target of the service has room.
+func TestRequestsMoveToTheTargetWithoutALimit(t *testing.T) {
+	f := newFleet(t, "voids", "voids", "voids", "voids", "voids", "riders")
+	for _, target := range f.targets[:4] {
+		target.limit.Store("0")
+	}
+	const origin = 5
+	for i := range 100 {
+		method, path := http.MethodGet, "/voidlist/1"
+		if i%2 == 0 {
+			method, path = http.MethodPost, "/voids/1"
+		}
+		assert.Equal(t, f.send(t, origin, method, path, "secret", "").status, http.StatusOK, "request %d", i)
+	}
+	for _, target := range f.targets[:4] {
+		assert.Assert(t, target.runs.Load() <= 5, "%d requests at a limit of 0", target.runs.Load())
+	}
+}
--- a/core/gate/bench_test.go
+++ b/core/gate/bench_test.go
@@ -1,6 +1,10 @@
 package gate
 
-import "testing"
+import (
+	"testing"
+
+	"coltsfootusher.example/core/clock"
+)
 
 func BenchmarkOfferDone(b *testing.B) {
 	g := newGate(Config{Slots: 90, QueueLimit: 200})
@@ -20,3 +24,19 @@
 		g.Offer(lookup(id, "a", 0), 0)
 	}
 }
+
+// BenchmarkOfferDoneAtALimit measures a call at a target that names a limit of as many calls as arrive.
+func BenchmarkOfferDoneAtALimit(b *testing.B) {
+	g := newGate(Config{Slots: 90, QueueLimit: 200})
+	g.SetRateLimit(millisPerSecond, 0)
+	id := uint64(0)
+	for b.Loop() {
+		id++
+		now := clock.Millis(id)
+		r := lookup(id, "a", 0)
+		r.Arrival, r.Deadline = now, now+1000
+		for _, d := range g.Offer(r, now) {
+			g.Done(d.ID, Sample{LatencyMs: 5}, now)
+		}
+	}
+}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -51,6 +51,8 @@
 	found = append(found, h.checkOrigins(runs)...)
 	found = append(found, h.checkTargets(runs)...)
 	found = append(found, h.checkQuota(runs)...)
+	found = append(found, h.checkLimits()...)
+	found = append(found, h.checkLeaving(runs)...)
 	return append(found, h.checkDenied()...)
 }
 
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -40,6 +40,8 @@
 		"proper calls are not denied":                   denied,
 		"a withdrawn key stops working":                 lateKey,
 		"a target's call bears its service":             foreignInner,
+		"a target gets no more than the limit":          overLimit,
+		"a target that says it leaves":                  ranWhileLeaving,
 	} {
 		h := kept()
 		spoil(h)
@@ -102,3 +104,23 @@
 	}
 	assert.Assert(t, first[0].String() != schedule(seed+1, nodes, time.Minute)[0].String())
 }
+
+func overLimit(h *history) {
+	from := time.Unix(1000, 0)
+	h.statements = []statement{{target: "t1", from: from, until: from.Add(time.Minute), limited: true}}
+	for i := range limitSlack + 1 {
+		h.runs = append(h.runs, platformtest.Run{Target: "t1", At: from.Add(limitSettles + time.Duration(1+i)*time.Millisecond)})
+	}
+}
+
+func ranWhileLeaving(h *history) {
+	from := h.calls[0].sent.Add(-time.Second)
+	h.statements = []statement{{target: "t1", from: from, until: from.Add(time.Minute), leaving: true}}
+	h.calls[0].ended = h.calls[0].sent.Add(time.Millisecond)
+	late, run := h.calls[0], h.runs[0]
+	late.ID, run.RequestID = "c2", "c2"
+	late.answer.EchoedID = "c2"
+	late.sent = h.calls[0].ended.Add(2 * drainTime)
+	late.ended, run.At = late.sent.Add(time.Millisecond), late.sent
+	h.calls, h.runs = append(h.calls, late), append(h.runs, run)
+}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +25,8 @@
 	drainTime = 2 * time.Second
 	linkDelay = 60 * time.Millisecond
 	slowStore = 700 * time.Millisecond
+	// highestLimit is above the highest limit that a target names, in requests per second.
+	highestLimit = 40
 	// policyEvery is the time between the policies that are published beside the faults.
 	policyEvery = 2500 * time.Millisecond
 	// mostPolicies is the largest number of policies that follow each other at once.
@@ -76,6 +79,16 @@
 	{"target answers twice", func(s subject) error {
 		return s.misbehave(platformtest.Behaviour{WorkTime: targetWork, ExtraAnswers: true})
 	}},
+	{"target names a limit", func(s subject) error {
+		s.length *= longFactor
+		limit := float64(s.random % highestLimit)
+		return s.state(statement{limited: true, limit: limit}, platformtest.Behaviour{
+			WorkTime: targetWork, Limit: strconv.FormatFloat(limit, 'f', -1, 64),
+		})
+	}},
+	{"target says it leaves", func(s subject) error {
+		return s.state(statement{leaving: true}, platformtest.Behaviour{WorkTime: targetWork, Leaving: true})
+	}},
 	{"cut one way", func(s subject) error { return s.cut(link.Direction{From: s.one.name, To: s.other.name}) }},
 	{"cut both ways", func(s subject) error { return s.cut(both(s.one.name, s.other.name)...) }},
 	{"reset connections", func(s subject) error {
@@ -144,6 +157,19 @@
 	return nil
 }
 
+// state lets the target state something about itself for a while.
+func (s subject) state(st statement, b platformtest.Behaviour) error {
+	st.target, st.from = s.one.targetID(), time.Now()
+	change := s.one.behave(b)
+	s.wait(s.length)
+	st.until = time.Now()
+	// Another fault may have changed the behaviour, or replaced the target, so that it no longer states this.
+	if s.one.behave(platformtest.Behaviour{WorkTime: targetWork}) == change+1 && s.one.targetID() == st.target {
+		s.fleet.history.stated(st)
+	}
+	return nil
+}
+
 func (s subject) cut(directions ...link.Direction) error {
 	for _, d := range directions {
 		s.fleet.network.Cut(d)
--- a/standin/soak/history.go
+++ b/standin/soak/history.go
@@ -30,6 +30,15 @@
 	at  time.Time
 }
 
+// statement is what a target stated about itself in its answers for a while.
+type statement struct {
+	target           string
+	from, until      time.Time
+	limited, leaving bool
+	// limit is in requests per second.
+	limit float64
+}
+
 // history is what callers, targets and operators saw. It is safe for concurrent use.
 type history struct {
 	mu          sync.Mutex
@@ -37,6 +46,9 @@
 	inner       []platformtest.Call
 	runs        []platformtest.Run
 	withdrawals []withdrawal
+	statements  []statement
+	// nodeEnds holds the times at which processes of nodes ended.
+	nodeEnds []time.Time
 }
 
 // RunStarted records a run at a target.
@@ -65,6 +77,18 @@
 	h.withdrawals = append(h.withdrawals, withdrawal{key: key, at: time.Now()})
 }
 
+func (h *history) stated(s statement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.statements = append(h.statements, s)
+}
+
+func (h *history) nodeEnded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.nodeEnds = append(h.nodeEnds, time.Now())
+}
+
 func (h *history) counts() (calls, successes, runs int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -53,6 +53,8 @@
 	target  *platformtest.Target
 	entry   platformtest.Entry
 	starts  int
+	// behaviours counts the changes of the behaviour of this VM's targets.
+	behaviours int
 }
 
 func (v *vm) address(port int) string {
@@ -98,6 +100,7 @@
 	v.process, v.ended = process, ended
 	go func() {
 		err := process.Wait()
+		v.fleet.history.nodeEnded()
 		close(ended)
 		v.mu.Lock()
 		defer v.mu.Unlock()
@@ -171,6 +174,7 @@
 		return Error.Wrap(err)
 	}
 	v.target = target
+	v.behaviours++
 	return Error.Wrap(v.fleet.store.PublishTarget(v.entry))
 }
 
@@ -199,11 +203,20 @@
 	v.fleet.store.RemoveTarget(v.entry.ID)
 }
 
-// behave changes how the target treats its requests.
-func (v *vm) behave(b platformtest.Behaviour) {
+// targetID returns the id of the target.
+func (v *vm) targetID() string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.entry.ID
+}
+
+// behave changes how the target treats its requests, and returns the number of changes so far.
+func (v *vm) behave(b platformtest.Behaviour) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.behaviours++
 	if v.target != nil {
 		v.target.SetBehaviour(b)
 	}
+	return v.behaviours
 }
