End the limit of a target when another one takes over its address

What callers would see: a target that takes over the address of one that had named a limit kept that limit at its gate, for as long as it ran, and requests for it were refused although it had room. Cause: the tracker compared what the new target states with what was known of that target, which is nothing, and reported no change; the gate kept the former target's limit. Evidence: TestStatusDoesNotPassToAnotherTargetAtTheAddress failed before: no change reported. Why this works: the comparison is with the status in force at the gate, whichever target stated it.

--- a/core/targetstatus/targetstatus_test.go
+++ b/core/targetstatus/targetstatus_test.go
@@ -39,7 +39,8 @@
 	var tracker Tracker
 	tracker.Observe("t1", Report{Status: Status{Limited: true, LimitPerSecond: 5, Leaving: true}})
 	assert.Equal(t, tracker.Status("t2"), Status{})
-	tracker.Observe("t2", Report{})
+	_, changed := tracker.Observe("t2", Report{})
+	assert.Assert(t, changed, "the limit of the former target must end")
 	assert.Equal(t, tracker.Status("t1"), Status{})
 	assert.Assert(t, tracker.Forget("t2") && !tracker.Forget("t2"))
 }
--- a/core/targetstatus/tracker.go
+++ b/core/targetstatus/tracker.go
@@ -7,11 +7,12 @@
 	status Status
 }
 
-// Observe applies the report of an answer of the target and returns the status and whether it has changed.
+// Observe applies the report of an answer of the target. It returns the status and whether another one was in force before, of this
+// target or of the one that answered last.
 func (t *Tracker) Observe(target string, r Report) (s Status, changed bool) {
-	previous := t.Status(target)
-	t.target, t.status = target, r.appliedTo(previous)
-	return t.status, t.status != previous
+	before := t.status
+	t.target, t.status = target, r.appliedTo(t.Status(target))
+	return t.status, t.status != before
 }
 
 // Adopt takes the status that another node has learned, unless this node has an answer of a target itself: that is at least as
