--- a/coltsfootctl/explanation/reason.go
+++ b/coltsfootctl/explanation/reason.go
@@ -17,7 +17,7 @@
 	call.ReasonDeadlineExceeded:      "the deadline passed",
 	call.ReasonOverRate:              "the client account has used up its rate and burst",
 	call.ReasonOverloaded:            "the target or its queue is full",
-	call.ReasonTargetLimited:         "the target names a limit on its requests per second, and the call's turn would have come too late",
+	call.ReasonTargetLimited:         "the target names a limit on its requests per second, and the call would have waited too long",
 	call.ReasonQueueTimeout:          "the call waited longer in the queue than the preset allows",
 	call.ReasonDeadlineTooClose:      "the call could not finish before its deadline",
 	call.ReasonLeaving:               "the node or its target is leaving",
--- a/coltsfootd/mesh/targetstatus_test.go
+++ b/coltsfootd/mesh/targetstatus_test.go
@@ -82,8 +82,8 @@
 	}, poll.WithTimeout(30*time.Second))
 }
 
-// Guards against a node beside a target that forgets the target's limit when it restarts, and lets through as many requests as the
-// target has slots before the first answer names the limit again.
+// Guards against a node beside a target that forgets the target's limit when it restarts, and lets through as many requests as
+// the target has slots before the first answer names the limit again.
 func TestRestartedNodeKeepsTheLimitThatOthersHaveHeard(t *testing.T) {
 	f := newFleet(t, "voids", "riders")
 	f.targets[0].limit.Store("0")
--- a/core/gate/rate_test.go
+++ b/core/gate/rate_test.go
@@ -107,8 +107,8 @@
 	return load{perSecond, innerNonIdempotentCall}
 }
 
-// Guards against a target that gets more than its limit in any 4 s while demand is three times as high, at limits that rise, fall,
-// end, and are named again. The users allow one and a half times the limit and 5 requests.
+// Guards against a target that gets more than its limit in any 4 s while demand is three times as high, at limits that rise,
+// fall, end, and are named again. The users allow one and a half times the limit and 5 requests.
 func TestRateLimitHoldsInEveryWindow(t *testing.T) {
 	const windowMs, stepMs = 4000, 6000
 	s := newRateSimulation(t, 1, lookups(150, "a"), operations(60), innerCalls(90))
@@ -139,8 +139,8 @@
 	assert.Assert(t, len(s.startsAt) >= 3 && len(s.startsAt) <= 6, "%d starts", len(s.startsAt))
 }
 
-// Guards against operations that are refused because lookups use the starts, at high and low limits. Operations that arrive within a
-// short time of each other are refused at a low limit in any case, because they may wait for 250 ms only.
+// Guards against operations that are refused because lookups use the starts, at high and low limits. Operations that arrive
+// within a short time of each other are refused at a low limit in any case, because they may wait for 250 ms only.
 func TestLookupsTakeNoStartsFromOperationsAtALimitedTarget(t *testing.T) {
 	const maxLost = 0.05
 	for _, perSecond := range []float64{5, 20, 100} {
@@ -165,8 +165,8 @@
 	assert.Assert(t, served >= 0.9, "%.2f of the light account's lookups started", served)
 }
 
-// Guards against lookups that get nothing beside inner calls, which go first because work is lost if they fail, and against lookups
-// that take the place of more inner calls than their share.
+// Guards against lookups that get nothing beside inner calls, which go first because work is lost if they fail, and against
+// lookups that take the place of more inner calls than their share.
 func TestLookupsKeepTheirShareBesideInnerCallsAtALimitedTarget(t *testing.T) {
 	s := newRateSimulation(t, 5, lookups(100, "a"), innerCalls(200))
 	s.apply(s.gate.SetRateLimit(100, s.now))
--- a/core/targetstatus/targetstatus_test.go
+++ b/core/targetstatus/targetstatus_test.go
@@ -17,7 +17,10 @@
 	for _, step := range []struct {
 		says    Status
 		changed bool
-	}{{Status{}, false}, {limit(50), true}, {limit(50), false}, {limit(20), true}, {limit(80), true}, {Status{}, true}, {limit(50), true}} {
+	}{
+		{Status{}, false}, {limit(50), true}, {limit(50), false}, {limit(20), true}, {limit(80), true}, {Status{}, true},
+		{limit(50), true},
+	} {
 		s, changed := tracker.Observe("t1", Report{Status: step.says})
 		assert.Equal(t, s, step.says)
 		assert.Equal(t, changed, step.changed)
--- a/core/targetstatus/tracker.go
+++ b/core/targetstatus/tracker.go
@@ -7,8 +7,8 @@
 	status Status
 }
 
-// Observe applies the report of an answer of the target. It returns the status and whether another one was in force before, of this
-// target or of the one that answered last.
+// Observe applies the report of an answer of the target. It returns the status and whether another one was in force before, of
+// this target or of the one that answered last.
 func (t *Tracker) Observe(target string, r Report) (s Status, changed bool) {
 	before := t.status
 	t.target, t.status = target, r.appliedTo(t.Status(target))
