Bound the log lines about statuses that change all the time

Cause: a target whose limit changes with every answer would have filled the logs of its node and of all senders; a change was logged each time. Change: at most 3 lines a second about changes and 1 about unreadable statuses at the node beside the target, 10 about learned ones at each sender; the line a second of a limited target carries the limit in force in any case.

--- a/coltsfootd/forward/targetstatus.go
+++ b/coltsfootd/forward/targetstatus.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"coltsfootusher.example/coltsfootd/directory"
+	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/dispatch"
@@ -14,16 +15,20 @@
 	"coltsfootusher.example/core/vm"
 )
 
+// learnedLinesPerSecond limits the log lines about what this node learns of targets.
+const learnedLinesPerSecond = 10
+
 // targetStatuses holds the statuses of targets that this node has learned from replies.
 type targetStatuses struct {
 	logger log.Logger
 
-	mu   sync.Mutex
-	book *targetstatus.Book
+	mu    sync.Mutex
+	book  *targetstatus.Book
+	lines logging.Throttle
 }
 
 func newTargetStatuses(logger log.Logger) *targetStatuses {
-	return &targetStatuses{logger: logger, book: targetstatus.NewBook()}
+	return &targetStatuses{logger: logger, book: targetstatus.NewBook(), lines: logging.NewThrottle(learnedLinesPerSecond)}
 }
 
 // record stores the status in a reply of the target's node. A reply that was made up because the node did not answer has none.
@@ -37,7 +42,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.book.Record(target, s, now) {
+	if t.book.Record(target, s, now) && t.lines.Allow(now) {
 		_ = level.Info(t.logger).Log("msg", "status of a target learned", "target", target, "limited", s.Limited,
 			"limitPerSecond", s.LimitPerSecond, "leaving", s.Leaving)
 	}
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -135,7 +135,7 @@
 	ctx context.Context, c dispatch.Context, request *upstream.Request, received clock.Millis,
 ) (dispatch.Reply, *upstream.Response) {
 	if c.TargetStatus != nil {
-		r.status.adopt(c.Target, *c.TargetStatus)
+		r.status.adopt(c.Target, *c.TargetStatus, received)
 	}
 	if r.targetLeaving(c.Target) || r.saysItLeaves(c.Target) {
 		return refuse(call.ReasonLeaving), nil
@@ -264,7 +264,7 @@
 	case said.WrongTarget:
 		response.Close()
 		r.absentTargets.add(c.Target, r.Clock.Now())
-		r.status.forget(c.Target)
+		r.status.forget(c.Target, r.Clock.Now())
 		return refuse(call.ReasonNoTarget), nil
 	case said.NotRun:
 		response.Close()
--- a/coltsfootd/localtarget/status.go
+++ b/coltsfootd/localtarget/status.go
@@ -8,15 +8,18 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/targetstatus"
 )
 
-// statusLogIntervalMs is the shortest time between two log lines about the requests to a target that names a limit, and between
-// two lines about statuses that can't be read.
-const statusLogIntervalMs clock.Millis = 1000
-
 const (
+	// requestLogIntervalMs is the time between two log lines about the requests to a target that names a limit.
+	requestLogIntervalMs clock.Millis = 1000
+	// changeLinesPerSecond limits the log lines about a status that changes all the time, unreadableLinesPerSecond those about
+	// statuses that can't be read.
+	changeLinesPerSecond     = 3
+	unreadableLinesPerSecond = 1
 	// leavingCheckIntervalMs is the shortest time between two health checks of a target that has said that it leaves. No other
 	// request shows whether it still does.
 	leavingCheckIntervalMs clock.Millis = 1000
@@ -36,14 +39,18 @@
 	// sent and refused are the numbers of requests sent to the target, and refused for its limit, since countedSince.
 	sent, refused int
 	countedSince  clock.Millis
-	errLoggedAt   clock.Millis
+	// changeLines and unreadableLines limit the log lines.
+	changeLines, unreadableLines logging.Throttle
 	// checking is true while a health check finds out whether the target still leaves; the next one follows after checkAfter.
 	checking   bool
 	checkAfter clock.Millis
 }
 
 func newStatusMonitor(logger log.Logger, limitChanged func(s targetstatus.Status), now clock.Millis) *statusMonitor {
-	return &statusMonitor{logger: logger, limitChanged: limitChanged, countedSince: now, errLoggedAt: now - statusLogIntervalMs}
+	return &statusMonitor{
+		logger: logger, limitChanged: limitChanged, countedSince: now,
+		changeLines: logging.NewThrottle(changeLinesPerSecond), unreadableLines: logging.NewThrottle(unreadableLinesPerSecond),
+	}
 }
 
 // publish exports the counters and the status of the target as metrics.
@@ -65,34 +72,40 @@
 	defer m.mu.Unlock()
 	if err := r.Err(); err != nil {
 		m.unreadable.Add(1)
-		m.logUnreadable(target, err, now)
+		if m.unreadableLines.Allow(now) {
+			_ = level.Warn(m.logger).Log("msg", "status of the target can't be read, the previous one stays", "target", target,
+				"err", err)
+		}
 	}
 	if s, changed := m.tracker.Observe(target, r); changed {
-		m.apply(target, s, "target")
+		m.apply(target, s, "target", now)
 	}
 }
 
 // adopt takes what another node has learned of the target, if this node has no answer of the target yet.
-func (m *statusMonitor) adopt(target string, s targetstatus.Status) {
+func (m *statusMonitor) adopt(target string, s targetstatus.Status, now clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.tracker.Adopt(target, s) {
-		m.apply(target, s, "peer")
+		m.apply(target, s, "peer", now)
 	}
 }
 
 // forget drops the status of a target that no longer serves at the address.
-func (m *statusMonitor) forget(target string) {
+func (m *statusMonitor) forget(target string, now clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if previous := m.tracker.Status(target); m.tracker.Forget(target) && previous != (targetstatus.Status{}) {
-		m.apply(target, targetstatus.Status{}, "another target answers")
+		m.apply(target, targetstatus.Status{}, "another target answers", now)
 	}
 }
 
 // apply puts a changed status into force.
-func (m *statusMonitor) apply(target string, s targetstatus.Status, source string) {
-	m.logChange(target, s, source)
+func (m *statusMonitor) apply(target string, s targetstatus.Status, source string, now clock.Millis) {
+	if m.changeLines.Allow(now) {
+		_ = level.Info(m.logger).Log("msg", "status of the target changed", "target", target, "limited", s.Limited,
+			"limitPerSecond", s.LimitPerSecond, "leaving", s.Leaving, "source", source)
+	}
 	m.limitChanged(s)
 }
 
@@ -113,26 +126,13 @@
 	m.checking = false
 }
 
-func (m *statusMonitor) logUnreadable(target string, err error, now clock.Millis) {
-	if now-m.errLoggedAt < statusLogIntervalMs {
-		return
-	}
-	m.errLoggedAt = now
-	_ = level.Warn(m.logger).Log("msg", "status of the target can't be read, the previous one stays", "target", target, "err", err)
-}
-
-func (m *statusMonitor) logChange(target string, s targetstatus.Status, source string) {
-	_ = level.Info(m.logger).Log("msg", "status of the target changed", "target", target, "limited", s.Limited,
-		"limitPerSecond", s.LimitPerSecond, "leaving", s.Leaving, "source", source)
-}
-
 // countSent counts a request that is sent to the target. While the target names a limit, a line a second tells how many it got.
 func (m *statusMonitor) countSent(target string, now clock.Millis) {
 	m.requests.Add(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.tracker.Status(target)
-	if elapsed := now - m.countedSince; elapsed >= statusLogIntervalMs {
+	if elapsed := now - m.countedSince; elapsed >= requestLogIntervalMs {
 		if s.Limited && m.sent > 0 {
 			_ = level.Info(m.logger).Log("msg", "requests sent to a target with a limit", "target", target, "sent", m.sent,
 				"refused", m.refused, "periodMs", int64(elapsed), "limitPerSecond", s.LimitPerSecond)
