Let the test of a stale replica keep one current watcher in each domain

Cause: in the test. It drew a rank for every node, in the order of a map, so that each watcher was stale with a chance of one half, and all six with 1 in 64; then no node can learn of the preset. The logs of the failed run show it: no node got the new version until the test had ended the staleness after its 5 s, and all watchers of the domains had it 0.01 to 0.95 s later. With all watchers made stale on purpose the test fails in the same way without any load. Change: one rank is drawn for each domain, in a fixed order, so that exactly one watcher of each domain is stale, as the name of the test says; the bound stays.

--- a/integration/preset_test.go
+++ b/integration/preset_test.go
@@ -120,9 +120,14 @@
 	f := startSablonsFleet(t, seed, nil)
 	recordVersions(t, f)
 	t.Run("stale replica for one watcher of each domain", func(t *testing.T) {
-		for name, s := range nodeStatuses(t, f) {
-			if s.WatcherRank == random.IntN(2) {
-				assert.NilError(t, f.Platform.SetBehaviour(name, platform.Behaviour{Mode: platform.Stale}))
+		statuses := nodeStatuses(t, f)
+		for _, domain := range f.File.FailureDomains {
+			// The other watcher of the domain reads the newest values.
+			stale := random.IntN(2)
+			for _, v := range vmsByDomain(f, domain, true) {
+				if statuses[v.Name].WatcherRank == stale {
+					assert.NilError(t, f.Platform.SetBehaviour(v.Name, platform.Behaviour{Mode: platform.Stale}))
+				}
 			}
 		}
 		defer f.Platform.ClearBehaviour("")
