Log the epoch of the store, and what a leaving target's state rests on

Cause looked for: a request reached a target that had said it leaves. The logs could not tell the hypotheses apart: no line named the store's epoch, the start time and report count of a list entry, or whether an answer or a health check changed a target's statement.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -105,6 +105,8 @@
 	roster *roster.Roster
 	// targetsKnown is true once a whole list of targets was received.
 	targetsKnown bool
+	// listEpoch is the epoch of the last list that was received.
+	listEpoch int64
 
 	// discovered holds the nodes found before the list of targets is known, discoveredAt the time at which the first were found.
 	discovered   Nodes
@@ -308,6 +310,7 @@
 		_ = level.Debug(d.Logger).Log("msg", "published entry ignored", "err", entryErr)
 	}
 	base := d.roster.Revision()
+	d.logListState(delta, base, source)
 	changes := d.roster.Apply(delta, now)
 	d.targetsKnown = d.targetsKnown || delta.Full
 	for _, c := range changes {
@@ -324,13 +327,28 @@
 	}
 }
 
+// logListState logs an epoch of the publisher that this node sees for the first time, and a list that is older than the one known.
+func (d *Directory) logListState(delta roster.Delta, known int64, source string) {
+	if delta.Epoch != d.listEpoch {
+		_ = level.Warn(d.Logger).Log("msg", "list of another epoch of the publisher", "epoch", delta.Epoch, "before", d.listEpoch,
+			"revision", delta.Revision, "known", known, "source", source)
+		d.listEpoch = delta.Epoch
+	}
+	if delta.Revision < known {
+		_ = level.Debug(d.Logger).Log("msg", "list is older than the one known", "epoch", delta.Epoch, "revision", delta.Revision,
+			"known", known, "source", source)
+	}
+}
+
 func (d *Directory) logTargetChange(c roster.Change, source string) {
 	if c.VM == nil {
-		_ = level.Info(d.Logger).Log("msg", "target is gone from the list", "target", c.Name, "revision", c.Revision, "source", source)
+		_ = level.Info(d.Logger).Log("msg", "target is gone from the list", "target", c.Name, "epoch", c.Epoch, "revision", c.Revision,
+			"source", source)
 		return
 	}
 	_ = level.Info(d.Logger).Log("msg", "target listed", "target", c.Name, "state", c.VM.State, "service", c.VM.Service,
-		"peer", c.VM.PeerAddress, "revision", c.Revision, "source", source)
+		"peer", c.VM.PeerAddress, "started", c.VM.StartedMs, "report", c.VM.Sequence, "epoch", c.Epoch, "revision", c.Revision,
+		"source", source)
 }
 
 // snapshot combines the policy in force with the list of targets. It reuses the current snapshot while the policy is unchanged,
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -201,7 +201,7 @@
 	defer cancel()
 	answer, err := r.Health.Check(ctx)
 	if err == nil && answer.Healthy && answer.Target == target {
-		r.status.observe(target, answer.Status, r.Clock.Now())
+		r.status.observe(target, answer.Status, "health check", r.Clock.Now())
 	}
 }
 
@@ -258,7 +258,7 @@
 	response.OnClose(cancel)
 	said := r.Dialect.ReadTarget(response.Status, response.Header)
 	if (said.FromTarget || said.NotRun) && !said.WrongTarget {
-		r.status.observe(c.Target, said.Status, r.Clock.Now())
+		r.status.observe(c.Target, said.Status, "request", r.Clock.Now())
 	}
 	switch {
 	case said.WrongTarget:
--- a/coltsfootd/localtarget/status.go
+++ b/coltsfootd/localtarget/status.go
@@ -66,8 +66,8 @@
 	return m.tracker.Status(target)
 }
 
-// observe applies what an answer of the target states.
-func (m *statusMonitor) observe(target string, r targetstatus.Report, now clock.Millis) {
+// observe applies what an answer of the target states. The source is the kind of request that it answered.
+func (m *statusMonitor) observe(target string, r targetstatus.Report, source string, now clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err := r.Err(); err != nil {
@@ -78,7 +78,7 @@
 		}
 	}
 	if s, changed := m.tracker.Observe(target, r); changed {
-		m.apply(target, s, "target", now)
+		m.apply(target, s, source, now)
 	}
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -23,14 +23,17 @@
 
 // Change is the state of one entry of the published list at a revision.
 type Change struct {
-	Name     string `json:"name"`
-	Revision int64  `json:"revision"`
+	Name string `json:"name"`
+	// Epoch counts how often the publisher was restored from a copy; its revisions begin anew each time.
+	Epoch    int64 `json:"epoch,omitempty"`
+	Revision int64 `json:"revision"`
 	// VM is nil if the entry was removed or doesn't describe a usable target.
 	VM *vm.VM `json:"vm,omitempty"`
 }
 
 // Delta is an update that brings a roster to a revision.
 type Delta struct {
+	Epoch    int64 `json:"epoch,omitempty"`
 	Revision int64 `json:"revision"`
 	// BaseRevision is the revision after which the changes begin.
 	BaseRevision int64 `json:"base,omitempty"`
