Order the list of targets by epoch and revision

What callers saw: requests reached a target later than drain_s after the store had acknowledged that it leaves. Cause: a restored store gives out its revisions a second time. Nodes compared them with those of before the restore and ignored changes at or below them, in lists, watches and messages between nodes. Why this works: a position is the epoch (the header that rises with each restore) and then the revision. A new epoch starts a full read and new watches; a watch or list does not go on across epochs, and an answer of an earlier epoch counts as a failed call. An entry that the copy lists by a report that is not newer than the last one known changes nothing: neither a leaving target nor one that has left is taken back. Targets that the copy lacks stay for the time in which they write again.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -16,6 +16,7 @@
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/fleet"
 	"coltsfootusher.example/core/freshness"
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/quota"
 	"coltsfootusher.example/core/roster"
@@ -43,10 +44,11 @@
 	Contacts(ctx context.Context) ([]vm.VM, error)
 	// Targets returns the whole list of targets, and an error for each entry that could not be used.
 	Targets(ctx context.Context) (roster.Delta, []error, error)
-	// WatchTargets waits for changes of the list after the revision.
-	WatchTargets(ctx context.Context, after int64, wait clock.Millis) (roster.Delta, []error, error)
-	// WatchPolicy waits for a policy written after the revision. The policy is nil if there was none.
-	WatchPolicy(ctx context.Context, after int64, wait clock.Millis) (*published.Policy, int64, error)
+	// WatchTargets waits for changes of the list after the position. It fails if the platform was restored since.
+	WatchTargets(ctx context.Context, after history.Position, wait clock.Millis) (roster.Delta, []error, error)
+	// WatchPolicy waits for a policy written after the position, and returns that from which to continue. The policy is nil if
+	// there was none.
+	WatchPolicy(ctx context.Context, after history.Position, wait clock.Millis) (*published.Policy, history.Position, error)
 }
 
 // Config holds the settings and dependencies of a Directory.
@@ -105,8 +107,8 @@
 	roster *roster.Roster
 	// targetsKnown is true once a whole list of targets was received.
 	targetsKnown bool
-	// listEpoch is the epoch of the last list that was received.
-	listEpoch int64
+	// epoch is the latest epoch of the platform's store that this node knows, or unknownEpoch.
+	epoch int64
 
 	// discovered holds the nodes found before the list of targets is known, discoveredAt the time at which the first were found.
 	discovered   Nodes
@@ -127,6 +129,8 @@
 	policyReadAt clock.Millis
 	syncAttempts int
 	stopWatches  context.CancelFunc
+	// watchedEpoch is the epoch of the running watches.
+	watchedEpoch int64
 	calls        platformCalls
 	// platformFailures counts the failed platform calls since the last successful one.
 	platformFailures    int
@@ -136,7 +140,8 @@
 // New returns a directory without any values.
 func New(c Config) *Directory {
 	d := &Directory{
-		Config: c, events: make(chan func(clock.Millis), eventQueueSize), stopped: make(chan struct{}), roster: roster.New(),
+		Config: c, events: make(chan func(clock.Millis), eventQueueSize), stopped: make(chan struct{}),
+		roster: roster.New(), epoch: unknownEpoch,
 		random: rand.New(rand.NewPCG(c.Incarnation, uint64(c.Clock.Now()))),
 	}
 	d.confirmedAt.Store(int64(clock.Never))
@@ -309,8 +314,10 @@
 	for _, entryErr := range entryErrs {
 		_ = level.Debug(d.Logger).Log("msg", "published entry ignored", "err", entryErr)
 	}
-	base := d.roster.Revision()
-	d.logListState(delta, base, source)
+	if !d.noteEpoch(delta.Epoch, source, now) && source == platformSource {
+		return // A late answer. Other nodes may still send what they learned in an earlier epoch.
+	}
+	base := d.roster.Position()
 	changes := d.roster.Apply(delta, now)
 	d.targetsKnown = d.targetsKnown || delta.Full
 	for _, c := range changes {
@@ -327,19 +334,6 @@
 	}
 }
 
-// logListState logs an epoch of the publisher that this node sees for the first time, and a list that is older than the one known.
-func (d *Directory) logListState(delta roster.Delta, known int64, source string) {
-	if delta.Epoch != d.listEpoch {
-		_ = level.Warn(d.Logger).Log("msg", "list of another epoch of the publisher", "epoch", delta.Epoch, "before", d.listEpoch,
-			"revision", delta.Revision, "known", known, "source", source)
-		d.listEpoch = delta.Epoch
-	}
-	if delta.Revision < known {
-		_ = level.Debug(d.Logger).Log("msg", "list is older than the one known", "epoch", delta.Epoch, "revision", delta.Revision,
-			"known", known, "source", source)
-	}
-}
-
 func (d *Directory) logTargetChange(c roster.Change, source string) {
 	if c.VM == nil {
 		_ = level.Info(d.Logger).Log("msg", "target is gone from the list", "target", c.Name, "epoch", c.Epoch, "revision", c.Revision,
--- a/coltsfootd/directory/directory_test.go
+++ b/coltsfootd/directory/directory_test.go
@@ -21,6 +21,7 @@
 	"coltsfootusher.example/coltsfootd/socket"
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/roster"
 	"coltsfootusher.example/core/route"
@@ -76,15 +77,17 @@
 	return roster.Delta{Revision: 1, Full: true, Changes: p.list}, nil, nil
 }
 
-func (p *countingPlatform) WatchTargets(ctx context.Context, _ int64, _ clock.Millis) (roster.Delta, []error, error) {
+func (p *countingPlatform) WatchTargets(ctx context.Context, _ history.Position, _ clock.Millis) (roster.Delta, []error, error) {
 	p.watches.Add(1)
 	<-ctx.Done()
 	return roster.Delta{}, nil, ctx.Err()
 }
 
-func (p *countingPlatform) WatchPolicy(ctx context.Context, _ int64, _ clock.Millis) (*published.Policy, int64, error) {
+func (p *countingPlatform) WatchPolicy(
+	ctx context.Context, _ history.Position, _ clock.Millis,
+) (*published.Policy, history.Position, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, history.Position{}, ctx.Err()
 }
 
 func listedTarget(name, address string) roster.Change {
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -38,6 +38,9 @@
 	discoverListedIntervalMs   clock.Millis = 6000
 )
 
+// errWrongEpoch is the error about an answer whose epoch is over, or can't be the next one.
+var errWrongEpoch = errors.New("answer is not from the current epoch of the platform")
+
 // platformCalls counts the platform calls by kind.
 type platformCalls struct {
 	policies, lists, contacts, watches atomic.Int64
@@ -118,6 +121,8 @@
 		d.reportUnreadablePolicy(err)
 	case err != nil:
 		d.readPolicyAfter = now + d.recordPlatformFailure("policy", err)
+	case !d.noteEpoch(p.Epoch, platformSource, now):
+		d.readPolicyAfter = now + d.recordPlatformFailure("policy", errWrongEpoch)
 	default:
 		d.policyReadAt = now
 		d.unreadable.Store(false)
@@ -135,6 +140,9 @@
 		return func(done clock.Millis) {
 			d.listingTargets = false
 			d.listTargetsAfter = now + listIntervalMs
+			if err == nil && !d.noteEpoch(delta.Epoch, platformSource, done) {
+				err = errWrongEpoch
+			}
 			if err != nil {
 				d.listTargetsAfter = done + d.recordPlatformFailure("targets", err)
 				return
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -12,8 +12,10 @@
 
 	"coltsfootusher.example/coltsfootd/peers"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/roster"
+	"coltsfootusher.example/core/vm"
 )
 
 // The paths of control messages between nodes.
@@ -34,8 +36,9 @@
 type syncMessage struct {
 	From        string `json:"from,omitempty"`
 	Incarnation uint64 `json:"incarnation,string,omitempty"`
-	// PolicyVersion and Revision are those of the sender's policy and list, or 0 if it has none.
+	// PolicyVersion is that of the sender's policy, Epoch and Revision are the position of its list; 0 if it has none.
 	PolicyVersion int64 `json:"policyVersion,omitempty"`
+	Epoch         int64 `json:"epoch,omitempty"`
 	Revision      int64 `json:"revision,omitempty"`
 	// AgeMs is the age of the confirmation of the sender's policy, or -1 if it has none.
 	AgeMs  clock.Millis      `json:"ageMs"`
@@ -48,23 +51,33 @@
 // Validate returns an error if a field has a value that no node sends.
 func (m syncMessage) Validate() error {
 	switch {
-	case m.PolicyVersion < 0 || m.Revision < 0 || m.AgeMs < -1:
+	case m.PolicyVersion < 0 || !m.position().Valid() || m.AgeMs < -1:
 		return Error.New("message has a negative version, revision or age")
 	case m.Policy != nil && m.Policy.Version <= 0:
 		return Error.New("message has a policy without a version")
 	case m.Roster == nil:
 		return nil
-	case m.Roster.Revision < 0 || m.Roster.BaseRevision < 0 || m.Roster.LapseGraceMs < 0:
+	case !m.Roster.Position().Valid() || !m.Roster.Base().Valid() || m.Roster.LapseGraceMs < 0:
 		return Error.New("message has a list with a negative revision or time")
 	}
 	for _, c := range m.Roster.Changes {
-		if c.Name == "" || c.Revision <= 0 || c.VM != nil && (c.VM.Name != c.Name || c.VM.Service == "" || c.VM.Slots < 0) {
+		if c.Name == "" || c.Revision <= 0 || c.Epoch < 0 || c.VM != nil && !describes(*c.VM, c.Name) {
 			return Error.New("message has the incomplete entry %q", c.Name)
 		}
 	}
 	return nil
 }
 
+// position returns the position of the sender's list.
+func (m syncMessage) position() history.Position {
+	return history.Position{Epoch: m.Epoch, Revision: m.Revision}
+}
+
+// describes reports whether v is complete and has the name.
+func describes(v vm.VM, name string) bool {
+	return v.Name == name && v.Service != "" && v.Slots >= 0
+}
+
 // decodeMessage decodes and validates a message from another node.
 func decodeMessage(r io.Reader) (syncMessage, error) {
 	var m syncMessage
@@ -84,7 +97,8 @@
 func (d *Directory) ownState(now clock.Millis) syncMessage {
 	m := syncMessage{From: d.Address, Incarnation: d.Incarnation, AgeMs: -1, PolicyVersion: d.policyVersion()}
 	if d.targetsKnown {
-		m.Revision = d.roster.Revision()
+		position := d.roster.Position()
+		m.Epoch, m.Revision = position.Epoch, position.Revision
 	}
 	if age := d.lease.Age(now); age != clock.Never {
 		m.AgeMs = age
@@ -288,8 +302,8 @@
 	if d.policy != nil && m.PolicyVersion < d.policy.Version {
 		own.Policy = d.policy
 	}
-	if d.targetsKnown && m.Revision < d.roster.Revision() {
-		delta := d.roster.DeltaSince(m.Revision)
+	if d.targetsKnown && m.position().Before(d.roster.Position()) {
+		delta := d.roster.DeltaSince(m.position())
 		delta.LapseGraceMs = d.roster.LapseGrace(now)
 		own.Roster = &delta
 	}
--- a/coltsfootd/directory/watch.go
+++ b/coltsfootd/directory/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
 )
 
@@ -20,25 +21,27 @@
 	watchBatchDelay = 100 * time.Millisecond
 )
 
-// updateWatches starts or stops watching the platform.
+// updateWatches starts or stops watching the platform. After a restore of the platform the watches begin again once the new list
+// is known, because a watch continues only within an epoch.
 func (d *Directory) updateWatches(ctx context.Context, wanted bool) {
-	if wanted == (d.stopWatches != nil) {
-		return
-	}
-	if !wanted {
+	position := d.roster.Position()
+	wanted = wanted && position.Epoch == d.epoch
+	if d.stopWatches != nil && (!wanted || d.watchedEpoch != d.epoch) {
 		d.stopWatches()
 		d.stopWatches = nil
+	}
+	if !wanted || d.stopWatches != nil {
 		return
 	}
 	ctx, d.stopWatches = context.WithCancel(ctx)
-	revision := d.roster.Revision()
-	go d.watchTargets(ctx, revision)
-	go d.watchPolicy(ctx, revision)
+	d.watchedEpoch = position.Epoch
+	go d.watchTargets(ctx, position)
+	go d.watchPolicy(ctx, position)
 }
 
 // watchTargets follows the list of targets until ctx ends. After a failure the whole list is read again, because the platform may
 // have discarded the changes since the last revision.
-func (d *Directory) watchTargets(ctx context.Context, after int64) {
+func (d *Directory) watchTargets(ctx context.Context, after history.Position) {
 	retry := watchRetryDelay
 	for ctx.Err() == nil {
 		d.calls.watches.Add(1)
@@ -49,49 +52,49 @@
 			d.enqueue(func(now clock.Millis) { d.listTargetsAfter = min(d.listTargetsAfter, now) })
 			sleep(ctx, retry)
 			retry = min(2*retry, watchRetryMaxDelay)
-			after = d.targetRevision(ctx, after)
+			after = d.targetPosition(ctx, after)
 			continue
 		}
 		retry = watchRetryDelay
-		after = max(after, delta.Revision)
-		d.enqueue(func(now clock.Millis) { d.applyTargets(delta, entryErrs, "platform", now) })
+		after = history.Latest(after, delta.Position())
+		d.enqueue(func(now clock.Millis) { d.applyTargets(delta, entryErrs, platformSource, now) })
 		sleep(ctx, watchBatchDelay)
 	}
 }
 
 // watchPolicy follows the policy until ctx ends. It confirms nothing, because a watch that reports no change may no longer
 // deliver changes.
-func (d *Directory) watchPolicy(ctx context.Context, after int64) {
+func (d *Directory) watchPolicy(ctx context.Context, after history.Position) {
 	retry := watchRetryDelay
 	for ctx.Err() == nil {
 		d.calls.watches.Add(1)
 		call, cancel := context.WithTimeout(ctx, watchWaitMs.Duration()+watchTimeoutMargin)
-		p, revision, err := d.Platform.WatchPolicy(call, after, watchWaitMs)
+		p, next, err := d.Platform.WatchPolicy(call, after, watchWaitMs)
 		cancel()
 		if errors.Is(err, published.ErrPolicyUnreadable) {
 			d.enqueue(func(clock.Millis) { d.reportUnreadablePolicy(err) })
 		} else if err != nil {
 			sleep(ctx, retry)
 			retry = min(2*retry, watchRetryMaxDelay)
-			after = d.targetRevision(ctx, after)
+			after = d.targetPosition(ctx, after)
 			continue
 		}
 		retry = watchRetryDelay
-		after = max(after, revision)
+		after = history.Latest(after, next)
 		if p != nil {
-			d.enqueue(func(clock.Millis) { d.applyPolicy(*p, "platform") })
+			d.enqueue(func(clock.Millis) { d.applyPolicy(*p, platformSource) })
 		}
 		sleep(ctx, watchBatchDelay)
 	}
 }
 
-// targetRevision returns the revision of the list, which is read again after a failed watch, or fallback if that is newer.
-func (d *Directory) targetRevision(ctx context.Context, fallback int64) int64 {
-	revision := make(chan int64, 1)
-	d.enqueue(func(clock.Millis) { revision <- d.roster.Revision() })
+// targetPosition returns the position of the list, which is read again after a failed watch, or fallback if that is later.
+func (d *Directory) targetPosition(ctx context.Context, fallback history.Position) history.Position {
+	position := make(chan history.Position, 1)
+	d.enqueue(func(clock.Millis) { position <- d.roster.Position() })
 	select {
-	case r := <-revision:
-		return max(r, fallback)
+	case p := <-position:
+		return history.Latest(p, fallback)
 	case <-ctx.Done():
 		return fallback
 	}
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -25,6 +25,7 @@
 	"coltsfootusher.example/coltsfootd/meshsetting"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/dialect"
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/roster"
 	"coltsfootusher.example/core/targetstatus"
@@ -124,19 +125,22 @@
 	return roster.Delta{Revision: 1, Full: true, Changes: s.targets}, nil, nil
 }
 
-func (s *fakePlatform) WatchTargets(ctx context.Context, after int64, _ clock.Millis) (roster.Delta, []error, error) {
+func (s *fakePlatform) WatchTargets(ctx context.Context, after history.Position, _ clock.Millis) (roster.Delta, []error, error) {
 	<-ctx.Done()
-	return roster.Delta{BaseRevision: after, Revision: after}, nil, errUnavailable
+	return roster.Delta{}, nil, errUnavailable
 }
 
-func (s *fakePlatform) WatchPolicy(ctx context.Context, after int64, _ clock.Millis) (*published.Policy, int64, error) {
+func (s *fakePlatform) WatchPolicy(
+	ctx context.Context, after history.Position, _ clock.Millis,
+) (*published.Policy, history.Position, error) {
 	s.mu.Lock()
 	changed := s.changed
 	s.mu.Unlock()
 	select {
 	case <-changed:
 		p, err := s.Policy(ctx)
-		return &p, after + 1, err
+		after.Revision++
+		return &p, after, err
 	case <-ctx.Done():
 		return nil, after, errUnavailable
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -5,12 +5,11 @@
 	"slices"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/vm"
 )
 
 const (
-	// maxRemovals is the number of removed entries that are kept so that peers can learn of them.
-	maxRemovals = 512
 	// LapseGraceMs is the time after the publisher's return for which entries remain in use that expired while it was
 	// unreachable. Live targets write their entries again within this time.
 	LapseGraceMs clock.Millis = 1800
@@ -24,30 +23,52 @@
 // Change is the state of one entry of the published list at a revision.
 type Change struct {
 	Name string `json:"name"`
-	// Epoch counts how often the publisher was restored from a copy; its revisions begin anew each time.
+	// Epoch and Revision are the position at which the entry got this state.
 	Epoch    int64 `json:"epoch,omitempty"`
 	Revision int64 `json:"revision"`
 	// VM is nil if the entry was removed or doesn't describe a usable target.
 	VM *vm.VM `json:"vm,omitempty"`
+	// Last is the last known report of a removed target, or nil.
+	Last *vm.Report `json:"last,omitempty"`
+}
+
+// Position returns the position at which the entry got this state.
+func (c Change) Position() history.Position {
+	return history.Position{Epoch: c.Epoch, Revision: c.Revision}
 }
 
 // Delta is an update that brings a roster to a revision.
 type Delta struct {
 	Epoch    int64 `json:"epoch,omitempty"`
 	Revision int64 `json:"revision"`
-	// BaseRevision is the revision after which the changes begin.
+	// BaseEpoch and BaseRevision are the position after which the changes begin.
+	BaseEpoch    int64 `json:"baseEpoch,omitempty"`
 	BaseRevision int64 `json:"base,omitempty"`
 	// Full is true if the changes are the complete list, so that all other entries are removed.
-	Full    bool     `json:"whole,omitempty"`
+	Full bool `json:"whole,omitempty"`
+	// Gap is true if an entry that was both added and removed after the base may be missing in the changes.
+	Gap     bool     `json:"gap,omitempty"`
 	Changes []Change `json:"changes,omitempty"`
 	// LapseGraceMs is the time for which entries that the delta removes remain in use, because the publisher has only
 	// recently become reachable again.
 	LapseGraceMs clock.Millis `json:"lapseGraceMs,omitempty"`
 }
 
+// Position returns the position to which the delta brings a roster.
+func (d Delta) Position() history.Position {
+	return history.Position{Epoch: d.Epoch, Revision: d.Revision}
+}
+
+// Base returns the position after which the changes begin.
+func (d Delta) Base() history.Position {
+	return history.Position{Epoch: d.BaseEpoch, Revision: d.BaseRevision}
+}
+
 type entry struct {
-	vm       vm.VM
-	revision int64
+	vm vm.VM
+	// changedAt is the position at which the entry got this state. An entry that a restored publisher lists unchanged keeps it, so
+	// that nodes are sent only what differs.
+	changedAt history.Position
 	// expiresAt is the time at which a removed entry goes out of use; 0 for a listed entry.
 	expiresAt clock.Millis
 	// confirmable is true if the entry was removed while the publisher was reachable. The target may only be cut off from
@@ -57,25 +78,23 @@
 
 // Roster is the list of targets as one node knows it. It is not safe for concurrent use.
 type Roster struct {
-	revision int64
-	entries  map[string]*entry
-	// removals are the most recently removed entries, the oldest first.
-	removals []Change
-	// removalsDroppedTo is the revision up to which removals are no longer kept.
-	removalsDroppedTo int64
-	// publisherBackAt is the time at which the publisher last became reachable again.
+	position   history.Position
+	entries    map[string]*entry
+	departures *departures
+	gaps       gaps
+	// publisherBackAt is the time at which the publisher last became reachable again, or was restored.
 	publisherBackAt      clock.Millis
 	publisherUnreachable bool
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: make(map[string]*entry), publisherBackAt: -LapseGraceMs}
+	return &Roster{entries: make(map[string]*entry), departures: newDepartures(), publisherBackAt: -LapseGraceMs}
 }
 
-// Revision returns the revision up to which this roster is complete.
-func (r *Roster) Revision() int64 {
-	return r.revision
+// Position returns the position up to which this roster is complete.
+func (r *Roster) Position() history.Position {
+	return r.position
 }
 
 // MarkPublisherUnreachable records that the publisher can't be reached.
@@ -90,6 +109,11 @@
 	}
 }
 
+// MarkPublisherRestored records that the publisher has returned from a copy. Targets write again what the copy lacks.
+func (r *Roster) MarkPublisherRestored(now clock.Millis) {
+	r.publisherUnreachable, r.publisherBackAt = false, now
+}
+
 // LapseGrace returns the time left in which entries that expired while the publisher was unreachable can be written
 // again.
 func (r *Roster) LapseGrace(now clock.Millis) clock.Millis {
@@ -102,6 +126,9 @@
 		grace := min(d.LapseGraceMs, LapseGraceMs)
 		r.publisherBackAt = max(r.publisherBackAt, now+grace-LapseGraceMs)
 	}
+	if d.Epoch > r.position.Epoch {
+		r.departures.holdFrom(now)
+	}
 	var applied []Change
 	listed := make(map[string]bool, len(d.Changes))
 	for _, c := range d.Changes {
@@ -112,33 +139,63 @@
 	}
 	if d.Full {
 		for name, e := range r.entries {
-			if c := (Change{Name: name, Revision: d.Revision}); !listed[name] && e.revision < d.Revision && r.applyChange(c, now) {
+			c := Change{Name: name, Epoch: d.Epoch, Revision: d.Revision}
+			if !listed[name] && e.changedAt.Before(d.Position()) && r.applyChange(c, now) {
 				applied = append(applied, c)
 			}
 		}
+		r.departures.recordUnlisted(listed, d.Position(), now)
 	}
-	if d.Full || d.BaseRevision <= r.revision {
-		// Otherwise changes between the known revision and the base revision may be missing.
-		r.revision = max(r.revision, d.Revision)
+	if d.Full || !r.position.Before(d.Base()) {
+		// Otherwise changes between the known position and the base may be missing.
+		if d.Full || d.Gap {
+			r.gaps.add(r.position, d.Position())
+		}
+		r.position = history.Latest(r.position, d.Position())
 	}
 	return applied
 }
 
 func (r *Roster) applyChange(c Change, now clock.Millis) bool {
 	known := r.entries[c.Name]
-	if known != nil && known.revision >= c.Revision {
+	if known != nil && !known.changedAt.Before(c.Position()) {
 		return false
 	}
-	if c.VM != nil && known != nil && known.expiresAt == 0 && c.VM.ReportedBefore(known.vm) {
-		// An older report of the target that was written late contains nothing new.
-		known.revision = c.Revision
+	if c.VM == nil {
+		return r.applyRemoval(c, known, now)
+	}
+	if known != nil && known.expiresAt == 0 && !known.replacedBy(c) {
 		return false
 	}
-	if c.VM != nil {
-		r.entries[c.Name] = &entry{vm: *c.VM, revision: c.Revision}
-		return true
+	if r.departures.outdated(c, now) {
+		return false
+	}
+	r.departures.forget(c.Name)
+	r.entries[c.Name] = &entry{vm: *c.VM, changedAt: c.Position()}
+	return true
+}
+
+// replacedBy reports whether the change replaces the listed entry.
+func (e *entry) replacedBy(c Change) bool {
+	if c.Epoch != e.changedAt.Epoch {
+		// A restored publisher lists the reports of its copy until the targets write newer ones.
+		return *c.VM != e.vm && c.VM.Report().MayFollow(e.vm.Report())
 	}
-	r.recordRemoval(c)
+	if c.VM.ReportedBefore(e.vm) {
+		// A report that was written late contains nothing new.
+		e.changedAt = c.Position()
+		return false
+	}
+	return true
+}
+
+func (r *Roster) applyRemoval(c Change, known *entry, now clock.Millis) bool {
+	if known != nil {
+		if last := known.vm.Report(); c.Last == nil || last.MayFollow(*c.Last) {
+			c.Last = &last
+		}
+	}
+	r.departures.record(c, now)
 	if known == nil {
 		return false
 	}
@@ -146,7 +203,7 @@
 		delete(r.entries, c.Name)
 		return true
 	}
-	known.revision = c.Revision
+	known.changedAt = c.Position()
 	if known.expiresAt != 0 {
 		return false
 	}
@@ -180,14 +237,6 @@
 	return vm.VM{}, false
 }
 
-func (r *Roster) recordRemoval(c Change) {
-	r.removals = append(r.removals, c)
-	if excess := len(r.removals) - maxRemovals; excess > 0 {
-		r.removalsDroppedTo = max(r.removalsDroppedTo, r.removals[excess-1].Revision)
-		r.removals = slices.Delete(r.removals, 0, excess)
-	}
-}
-
 // RemoveExpired removes the unlisted entries that have expired, and reports whether there were any.
 func (r *Roster) RemoveExpired(now clock.Millis) bool {
 	expired := false
@@ -200,37 +249,42 @@
 	return expired
 }
 
-// DeltaSince returns the delta that a peer at the revision lacks.
-func (r *Roster) DeltaSince(revision int64) Delta {
-	d := Delta{Revision: r.revision, BaseRevision: revision}
-	if revision >= r.revision {
+// DeltaSince returns the delta that a peer at the position lacks.
+func (r *Roster) DeltaSince(p history.Position) Delta {
+	d := Delta{
+		Epoch: r.position.Epoch, Revision: r.position.Revision, BaseEpoch: p.Epoch, BaseRevision: p.Revision,
+	}
+	if !p.Before(r.position) {
 		return d
 	}
-	d.Full = revision == 0 || revision < r.removalsDroppedTo
+	d.Full = p == history.Position{} || p.Before(r.departures.droppedTo) || r.gaps.contain(p)
+	d.Gap = r.gaps.after(p)
 	for name, e := range r.entries {
-		if e.expiresAt == 0 && (d.Full || e.revision > revision) {
+		if e.expiresAt == 0 && (d.Full || p.Before(e.changedAt)) {
 			v := e.vm
-			d.Changes = append(d.Changes, Change{Name: name, Revision: e.revision, VM: &v})
-		}
-	}
-	if !d.Full {
-		for _, c := range r.removals {
-			if c.Revision > revision {
-				d.Changes = append(d.Changes, c)
-			}
+			d.Changes = append(d.Changes, Change{
+				Name: name, Epoch: e.changedAt.Epoch, Revision: e.changedAt.Revision, VM: &v,
+			})
 		}
 	}
+	// A peer without a list needs the departures, too, to tell them from targets that a restored publisher lists from its copy.
+	d.Changes = append(d.Changes, r.departures.since(p, r.listed)...)
 	slices.SortFunc(d.Changes, func(a, b Change) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(a.Position().Compare(b.Position()), cmp.Compare(a.Name, b.Name))
 	})
 	return d
 }
 
-// DeltaToForward returns what rosters at the revision base lack after d has been applied to this one, which was at base
+func (r *Roster) listed(name string) bool {
+	e := r.entries[name]
+	return e != nil && e.expiresAt == 0
+}
+
+// DeltaToForward returns what rosters at the position base lack after d has been applied to this one, which was at base
 // before. This can be more than the changes that were new here: an entry that arrived early, ahead of its revision, is
 // already known here but may be unknown to the others.
-func (r *Roster) DeltaToForward(base int64, d Delta) Delta {
-	if r.revision <= base {
+func (r *Roster) DeltaToForward(base history.Position, d Delta) Delta {
+	if !base.Before(r.position) {
 		return d
 	}
 	return r.DeltaSince(base)
@@ -261,5 +315,5 @@
 	if e.vm.StartedMs != 0 && other.vm.StartedMs != 0 && e.vm.StartedMs != other.vm.StartedMs {
 		return e.vm.StartedMs > other.vm.StartedMs
 	}
-	return e.revision > other.revision
+	return other.changedAt.Before(e.changedAt)
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/roster"
 	"coltsfootusher.example/core/vm"
 )
@@ -29,7 +30,7 @@
 	r.Apply(roster.Delta{Revision: 5, Full: true, Changes: []roster.Change{listed("a", 3, vm.Live)}}, 20)
 	r.RemoveExpired(20 + roster.UnlistedGraceMs)
 	assert.Equal(t, names(r), "a:leaving ")
-	assert.Equal(t, r.Revision(), int64(7))
+	assert.Equal(t, r.Position(), history.Position{Revision: 7})
 }
 
 // Guards against losing live targets because their entries expired while the publisher was unreachable, and against
@@ -82,16 +83,16 @@
 func TestDeltaSinceIncludesRemovals(t *testing.T) {
 	from, to := roster.New(), roster.New()
 	from.Apply(roster.Delta{Revision: 2, Full: true, Changes: []roster.Change{listed("a", 1, vm.Live), listed("b", 2, vm.Live)}}, 0)
-	to.Apply(from.DeltaSince(to.Revision()), 0)
+	to.Apply(from.DeltaSince(to.Position()), 0)
 	assert.Equal(t, names(to), names(from))
 	from.Apply(roster.Delta{Revision: 4, Changes: []roster.Change{listed("c", 3, vm.Live), {Name: "a", Revision: 4}}}, 0)
-	d := from.DeltaSince(to.Revision())
+	d := from.DeltaSince(to.Position())
 	assert.Equal(t, len(d.Changes), 2)
 	to.Apply(d, 0)
 	from.RemoveExpired(roster.UnlistedGraceMs)
 	to.RemoveExpired(roster.UnlistedGraceMs)
 	assert.Equal(t, names(to), names(from))
-	assert.Equal(t, len(from.DeltaSince(4).Changes), 0)
+	assert.Equal(t, len(from.DeltaSince(history.Position{Revision: 4}).Changes), 0)
 }
 
 // Guards against an outdated report, from before a drain or a restart of the target, that is written late.
@@ -116,7 +117,7 @@
 	r.Apply(roster.Delta{Revision: 5, Full: true, Changes: []roster.Change{listed("a", 3, vm.Live)}}, 0)
 	r.Apply(roster.Delta{BaseRevision: 6, Revision: 7, Changes: []roster.Change{listed("b", 7, vm.Live)}}, 0)
 	assert.Equal(t, names(r), "a:live b:live ")
-	assert.Equal(t, r.Revision(), int64(5))
+	assert.Equal(t, r.Position(), history.Position{Revision: 5})
 }
 
 // Guards against requests to a crashed target whose entry is still listed beside that of its successor.
@@ -163,13 +164,13 @@
 		return roster.Change{Name: name, Revision: revision, VM: &vm.VM{Name: name, State: vm.Live, TargetAddress: name + ":1"}}
 	}
 	reader.Apply(roster.Delta{BaseRevision: 50, Revision: 60, Changes: []roster.Change{live("early", 55)}}, 0)
-	base := reader.Revision()
+	base := reader.Position()
 	full := roster.Delta{Full: true, Revision: 100, Changes: []roster.Change{live("early", 55), live("late", 90)}}
 	reader.Apply(full, 0)
 	other.Apply(reader.DeltaToForward(base, full), 0)
-	assert.Equal(t, other.Revision(), int64(100))
+	assert.Equal(t, other.Position(), history.Position{Revision: 100})
 	assert.Equal(t, len(other.VMs()), 2)
 	ahead := roster.Delta{BaseRevision: 120, Revision: 130, Changes: []roster.Change{live("next", 125)}}
 	reader.Apply(ahead, 0)
-	assert.DeepEqual(t, reader.DeltaToForward(100, ahead), ahead)
+	assert.DeepEqual(t, reader.DeltaToForward(history.Position{Revision: 100}, ahead), ahead)
 }
--- a/core/vm/vm.go
+++ b/core/vm/vm.go
@@ -91,6 +91,26 @@
 	return nil
 }
 
+// Report identifies a report of a target about itself.
+type Report struct {
+	// StartedMs and Sequence are those of the VM.
+	StartedMs int64 `json:"startedMs,omitempty"`
+	Sequence  int64 `json:"sequence,omitempty"`
+}
+
+// Report returns the report from which v comes.
+func (v VM) Report() Report {
+	return Report{StartedMs: v.StartedMs, Sequence: v.Sequence}
+}
+
+// MayFollow reports whether r is a later report of the target than other, or may be because one of them is not counted.
+func (r Report) MayFollow(other Report) bool {
+	if r.StartedMs != other.StartedMs {
+		return r.StartedMs == 0 || other.StartedMs == 0 || r.StartedMs > other.StartedMs
+	}
+	return r.Sequence == 0 || other.Sequence == 0 || r.Sequence > other.Sequence
+}
+
 // ReportedBefore reports whether v comes from an earlier report of the target than other.
 func (v VM) ReportedBefore(other VM) bool {
 	if v.StartedMs != other.StartedMs && v.StartedMs != 0 && other.StartedMs != 0 {
