Don't list a removed target again because of a late message

Cause: an entry that a node doesn't have was taken from any message or list, also from one older than the node's own list, in which the target had been removed. A node that had missed entries added and removed in between passed on its list as if it were complete. Evidence: TestLateMessageDoesNotListARemovedTargetAgain failed before; random histories of three nodes (TestNodesAgreeAfterRestoresAndTakeNoLeavingBack) with delayed messages and restores found nodes that disagreed for good. Change: an unknown entry counts only if it is later than the list, or in a list that is as new. A delta says whether it has gaps and is then complete only for nodes at its base. A removal is repeated at a new position when a restored store lists the target by an outdated report, so that it reaches nodes that took it for live.

--- a/core/roster/departure.go
+++ b/core/roster/departure.go
@@ -23,7 +23,7 @@
 type departures struct {
 	// removals are the removed entries, the oldest first.
 	removals []Change
-	// byName holds the last report and the time of the removal of each target whose report is known.
+	// byName holds the latest removal of each target.
 	byName map[string]departure
 	// droppedTo is the position up to which removals are no longer kept.
 	droppedTo history.Position
@@ -44,13 +44,11 @@
 
 // record stores a removal.
 func (d *departures) record(c Change, now clock.Millis) {
-	if known, removed := d.byName[c.Name]; removed && (c.Last == nil || known.change.Last.MayFollow(*c.Last)) {
-		c.Last = known.change.Last
+	if last := d.byName[c.Name].change.Last; last != nil && (c.Last == nil || last.MayFollow(*c.Last)) {
+		c.Last = last
 	}
 	d.removals = append(d.removals, c)
-	if c.Last != nil {
-		d.byName[c.Name] = departure{change: c, at: now}
-	}
+	d.byName[c.Name] = departure{change: c, at: now}
 	excess := len(d.removals) - maxDepartures
 	if excess <= 0 {
 		return
@@ -73,21 +71,38 @@
 // outdated reports whether the change lists a removed target by a report that is not newer than its last one.
 func (d *departures) outdated(c Change, now clock.Millis) bool {
 	known, removed := d.byName[c.Name]
-	if !removed || c.VM.Report().MayFollow(*known.change.Last) || now >= max(known.at, d.heldFrom)+outdatedHoldMs {
+	if !removed || known.change.Last == nil || !d.held(known, now) || c.VM.Report().MayFollow(*known.change.Last) {
 		return false
 	}
 	known.listed = true
-	d.byName[c.Name] = known
+	d.repeat(known, c.Position(), now)
 	return true
 }
 
-// recordUnlisted records again the removal of targets that a restored publisher may have listed by an outdated report and that
-// its list now lacks, because other nodes may have taken them for live.
-func (d *departures) recordUnlisted(listed map[string]bool, at history.Position, now clock.Millis) {
+// repeat records a removal again at a later position, so that it reaches nodes that may have taken the target for live.
+func (d *departures) repeat(known departure, at history.Position, now clock.Millis) {
+	if known.change.Position().Before(at) {
+		known.change.Epoch, known.change.Revision = at.Epoch, at.Revision
+		d.record(known.change, now)
+	}
+	d.byName[known.change.Name] = known
+}
+
+// held reports whether the target's last report still decides.
+func (d *departures) held(known departure, now clock.Millis) bool {
+	return now < max(known.at, d.heldFrom)+outdatedHoldMs
+}
+
+// repeatUnlisted repeats the removal of targets that a restored publisher may have listed by an outdated report and that its list
+// now lacks.
+func (d *departures) repeatUnlisted(listed map[string]bool, at history.Position, now clock.Millis) {
 	for name, known := range d.byName {
-		if !listed[name] && (known.listed || known.change.Epoch < at.Epoch) {
-			d.record(Change{Name: name, Epoch: at.Epoch, Revision: at.Revision, Last: known.change.Last}, now)
+		uncertain := known.listed || known.change.Epoch < at.Epoch || now < d.heldFrom+outdatedHoldMs
+		if listed[name] || !uncertain {
+			continue
 		}
+		known.listed = known.listed && d.held(known, now)
+		d.repeat(known, at, now)
 	}
 }
 
--- a/core/roster/restore_test.go
+++ b/core/roster/restore_test.go
@@ -125,6 +125,9 @@
 	assert.Equal(t, names(ahead), "a:live ")
 }
 
+// entryLifeMs is the time for which the publisher keeps an entry that is no longer written.
+const entryLifeMs clock.Millis = 4500
+
 // publisher is a model of a store that can be restored, with the targets that report there.
 type publisher struct {
 	at       history.Position
@@ -155,6 +158,15 @@
 	p.write(roster.Change{Name: name, VM: &v})
 }
 
+// removeDead removes the entries of targets that no longer report.
+func (p *publisher) removeDead() {
+	for _, name := range slices.Sorted(maps.Keys(p.entries)) {
+		if _, alive := p.alive[name]; !alive {
+			p.write(roster.Change{Name: name})
+		}
+	}
+}
+
 // restore brings back the copy from before the last lost changes.
 func (p *publisher) restore(lost int) {
 	from := max(0, len(p.copies)-lost)
@@ -195,7 +207,8 @@
 }
 
 // Guards against nodes that disagree for good after restores of the publisher, and against a leaving target that becomes live
-// again on a node that has seen it leave, with any order of changes, restores, reads and messages between nodes.
+// again on a node that has seen it leave, with any order of changes, restores, reads and messages between nodes, delayed
+// ones too.
 func TestNodesAgreeAfterRestoresAndTakeNoLeavingBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := &publisher{at: history.Position{Epoch: 1}, entries: map[string]roster.Change{}, alive: map[string]vm.VM{}}
@@ -206,14 +219,19 @@
 		}
 		var sent []roster.Delta
 		now, targets := clock.Millis(60_000), 0
+		// expireAt is the time at which the entries of targets expire that have left before the last restore.
+		expireAt := now
 		someTarget := func() string {
 			return rapid.SampledFrom(slices.Sorted(maps.Keys(p.alive))).Draw(t, "target")
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += clock.Millis(rapid.IntRange(0, 700).Draw(t, "ms"))
+			if now >= expireAt {
+				p.removeDead()
+			}
 			i := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
 			step := rapid.SampledFrom([]string{
-				"join", "report", "leave", "remove", "restore", "read", "read", "watch", "watch", "sync", "sync",
+				"join", "report", "leave", "remove", "restore", "read", "read", "watch", "watch", "sync", "sync", "late",
 			}).Draw(t, "step")
 			switch {
 			case step == "join" || len(p.alive) == 0:
@@ -235,6 +253,7 @@
 				p.write(roster.Change{Name: name})
 			case step == "restore":
 				p.restore(rapid.IntRange(1, 8).Draw(t, "lost"))
+				expireAt = now + entryLifeMs
 			case step == "read":
 				nodes[i].Apply(p.list(), now)
 			case step == "watch":
@@ -262,11 +281,7 @@
 		for _, name := range slices.Sorted(maps.Keys(p.alive)) {
 			p.report(name)
 		}
-		for name := range p.entries {
-			if _, alive := p.alive[name]; !alive {
-				p.write(roster.Change{Name: name})
-			}
-		}
+		p.removeDead()
 		nodes[0].Apply(p.list(), now)
 		for _, r := range nodes {
 			r.Apply(nodes[0].DeltaSince(r.Position()), now)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -64,6 +64,15 @@
 	return history.Position{Epoch: d.BaseEpoch, Revision: d.BaseRevision}
 }
 
+// completes reports whether the delta has everything that a roster at the position lacks. What is missing because of a gap is
+// known only for rosters at the base.
+func (d Delta) completes(p history.Position) bool {
+	if d.Gap {
+		return p == d.Base()
+	}
+	return !p.Before(d.Base())
+}
+
 type entry struct {
 	vm vm.VM
 	// changedAt is the position at which the entry got this state. An entry that a restored publisher lists unchanged keeps it, so
@@ -129,10 +138,14 @@
 	if d.Epoch > r.position.Epoch {
 		r.departures.holdFrom(now)
 	}
+	current := d.Full && !d.Position().Before(r.position)
 	var applied []Change
 	listed := make(map[string]bool, len(d.Changes))
 	for _, c := range d.Changes {
 		listed[c.Name] = true
+		if !current && r.removedSince(c) {
+			continue
+		}
 		if r.applyChange(c, now) {
 			applied = append(applied, c)
 		}
@@ -144,10 +157,9 @@
 				applied = append(applied, c)
 			}
 		}
-		r.departures.recordUnlisted(listed, d.Position(), now)
+		r.departures.repeatUnlisted(listed, d.Position(), now)
 	}
-	if d.Full || !r.position.Before(d.Base()) {
-		// Otherwise changes between the known position and the base may be missing.
+	if d.Full || d.completes(r.position) {
 		if d.Full || d.Gap {
 			r.gaps.add(r.position, d.Position())
 		}
@@ -156,6 +168,12 @@
 	return applied
 }
 
+// removedSince reports whether the change lists a target that this roster, which is complete up to a later position, doesn't
+// have.
+func (r *Roster) removedSince(c Change) bool {
+	return c.VM != nil && r.entries[c.Name] == nil && !r.position.Before(c.Position())
+}
+
 func (r *Roster) applyChange(c Change, now clock.Millis) bool {
 	known := r.entries[c.Name]
 	if known != nil && !known.changedAt.Before(c.Position()) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -111,6 +111,18 @@
 	assert.Equal(t, names(r), "a:live ")
 }
 
+// Guards against a removed target that is live again on a node that gets a delayed message, or reads an older list, in which the
+// target is still listed.
+func TestLateMessageDoesNotListARemovedTargetAgain(t *testing.T) {
+	r := roster.New()
+	r.Apply(roster.Delta{Revision: 9, Full: true, Changes: []roster.Change{listed("b", 2, vm.Live)}}, 0)
+	r.Apply(roster.Delta{BaseRevision: 6, Revision: 7, Changes: []roster.Change{listed("a", 7, vm.Live)}}, 10)
+	r.Apply(roster.Delta{Revision: 7, Full: true, Changes: []roster.Change{listed("a", 7, vm.Live), listed("b", 2, vm.Live)}}, 20)
+	assert.Equal(t, names(r), "b:live ")
+	r.Apply(roster.Delta{BaseRevision: 11, Revision: 12, Changes: []roster.Change{listed("a", 12, vm.Live)}}, 30)
+	assert.Equal(t, names(r), "a:live b:live ", "a later change lists the target")
+}
+
 // Guards against a node that considers itself up to date after a delta that follows a lost one.
 func TestDeltaWithAGapDoesNotAdvanceTheRevision(t *testing.T) {
 	r := roster.New()
