Let nothing but a new lifetime take back that a target leaves

Cause: the last answer decided. An answer that the target wrote before it left and that was read later took the leaving back, and so did a health answer without the statement, which a false health answer is, and a late reply of its node. Evidence: with the new second half of TestTargetThatSaysItLeavesGetsNoNewRequests, the former code sends 18,895 requests in 7 s to a target that had said that it leaves. Change: the statement holds for the target's lifetime, its id and start time. The health checks for it are gone. The test's former second half expected that the target is used again once its answers no longer say that it leaves: that is the fault. It now expects that it is not, and that it is used again after a restart; TestUnreadablePartKeepsThePreviousValue keeps the leaving likewise. Measured: tests of targetstatus, forward, localtarget and mesh pass.

--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -227,7 +227,7 @@
 // attempt sends the job to one target.
 func (s *Sender) attempt(ctx context.Context, v vm.VM, j Job, choice balance.Choice) (dispatch.Reply, *upstream.Response) {
 	now := s.Clock.Now()
-	j.Target, j.TargetStatus = v.Name, s.statuses.get(v.Name)
+	j.Target, j.TargetStatus = v.Name, s.statuses.get(lifetime(v))
 	j.TimeoutMs = j.Deadline - now
 	s.Balancer.Started(v.Name, now)
 	start := time.Now()
@@ -242,7 +242,7 @@
 		result.Load = &load
 	}
 	s.Balancer.Finished(v.Name, result, s.Clock.Now())
-	s.statuses.record(v.Name, reply, s.Clock.Now())
+	s.statuses.record(lifetime(v), reply, s.Clock.Now())
 	s.Recorder.Record(decision.Decision{
 		AtMs: s.Clock.Now(), Part: decision.PartPassage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
 		Action: "request sent to target", Node: v.Name, Reason: reply.Reason, Attempt: j.Attempt,
--- a/coltsfootd/forward/targetstatus.go
+++ b/coltsfootd/forward/targetstatus.go
@@ -32,7 +32,7 @@
 }
 
 // record stores the status in a reply of the target's node. A reply that was made up because the node did not answer has none.
-func (t *targetStatuses) record(target string, r dispatch.Reply, now clock.Millis) {
+func (t *targetStatuses) record(l targetstatus.Lifetime, r dispatch.Reply, now clock.Millis) {
 	if r.Reason == call.ReasonNodeUnreachable || r.Load.Limit == 0 {
 		return
 	}
@@ -42,17 +42,23 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.book.Record(target, s, now) && t.lines.Allow(now) {
-		_ = level.Info(t.logger).Log("msg", "status of a target learned", "target", target, "limited", s.Limited,
+	if t.book.Record(l, s, now) && t.lines.Allow(now) {
+		s = t.book.Get(l)
+		_ = level.Info(t.logger).Log("msg", "status of a target learned", "target", l.Target, "limited", s.Limited,
 			"limitPerSecond", s.LimitPerSecond, "leaving", s.Leaving)
 	}
 }
 
+// lifetime returns the lifetime of the target on the VM that the target list shows.
+func lifetime(v vm.VM) targetstatus.Lifetime {
+	return targetstatus.Lifetime{Target: v.Name, StartedMs: v.StartedMs}
+}
+
 // get returns the status of the target, or nil if none is known.
-func (t *targetStatuses) get(target string) *targetstatus.Status {
+func (t *targetStatuses) get(l targetstatus.Lifetime) *targetstatus.Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.book.Get(target)
+	s := t.book.Get(l)
 	if s == (targetstatus.Status{}) {
 		return nil
 	}
@@ -68,7 +74,7 @@
 		if v.State != vm.Live || excluded[v.Name] {
 			continue
 		}
-		if known := s.statuses.get(v.Name); known != nil && known.Limited {
+		if known := s.statuses.get(lifetime(v)); known != nil && known.Limited {
 			limited = append(limited, v.Name)
 		} else {
 			unlimitedLeft = unlimitedLeft || v.PeerAddress == s.Address || s.Peers.Usable(v.PeerAddress)
--- a/coltsfootd/localtarget/health.go
+++ b/coltsfootd/localtarget/health.go
@@ -40,12 +40,12 @@
 
 // Serves reports whether the local target has this id, serves, and is not leaving.
 func (h *HealthProber) Serves(ctx context.Context, id string) bool {
-	answer, err := h.Check(ctx)
+	answer, err := h.check(ctx)
 	return err == nil && answer.Target == id && answer.Healthy && !answer.Status.Leaving
 }
 
-// Check sends a health check to the local target and returns its answer.
-func (h *HealthProber) Check(ctx context.Context) (dialect.HealthAnswer, error) {
+// check sends a health check to the local target and returns its answer.
+func (h *HealthProber) check(ctx context.Context) (dialect.HealthAnswer, error) {
 	v := h.views.View()
 	if v == nil {
 		return dialect.HealthAnswer{}, errNoHealthPath
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -49,15 +49,9 @@
 	Sockets    Sockets
 	Bodies     *body.Budget
 	CrashGuard CrashGuard
-	Health     HealthChecker
 	Logger     log.Logger
 }
 
-// HealthChecker checks the health of the local target.
-type HealthChecker interface {
-	Check(ctx context.Context) (dialect.HealthAnswer, error)
-}
-
 // CrashGuard identifies requests that crash the target.
 type CrashGuard interface {
 	// Enter reports whether the request may be sent to the target. If it may, Leave must be called.
@@ -99,7 +93,17 @@
 
 // Publish exports the counters and the status of the target, whose id target returns, as metrics.
 func (r *Runner) Publish(metrics *expvar.Map, target func() string) {
-	r.status.publish(metrics, target)
+	r.status.publish(metrics, func() targetstatus.Lifetime { return r.lifetime(target()) })
+}
+
+// lifetime returns the lifetime of the target that the target list shows.
+func (r *Runner) lifetime(target string) targetstatus.Lifetime {
+	l := targetstatus.Lifetime{Target: target}
+	if v := r.Views.View(); v != nil {
+		listed, _ := v.VM(target)
+		l.StartedMs = listed.StartedMs
+	}
+	return l
 }
 
 // RecordInnerRefusal records that an inner call of the local target was refused because the called service is overloaded.
@@ -123,7 +127,7 @@
 	received := r.Clock.Now()
 	reply, response := r.run(ctx, c, request, received)
 	reply.Load = r.Admission.Load()
-	if s := r.status.status(c.Target); s != (targetstatus.Status{}) {
+	if s := r.status.status(r.lifetime(c.Target)); s != (targetstatus.Status{}) {
 		reply.TargetStatus = &s
 		reply.Load.Leaving = reply.Load.Leaving || s.Leaving
 	}
@@ -135,7 +139,7 @@
 	ctx context.Context, c dispatch.Context, request *upstream.Request, received clock.Millis,
 ) (dispatch.Reply, *upstream.Response) {
 	if c.TargetStatus != nil {
-		r.status.adopt(c.Target, *c.TargetStatus, received)
+		r.status.adopt(r.lifetime(c.Target), *c.TargetStatus, received)
 	}
 	if r.targetLeaving(c.Target) || r.saysItLeaves(c.Target) {
 		return refuse(call.ReasonLeaving), nil
@@ -183,26 +187,9 @@
 	return listed && own.State == vm.Leaving
 }
 
-// saysItLeaves reports whether the target has stated that it leaves. From time to time a health check finds out whether it still
-// does, because it gets no requests whose answers would tell.
+// saysItLeaves reports whether the target has stated that it leaves.
 func (r *Runner) saysItLeaves(target string) bool {
-	if !r.status.status(target).Leaving {
-		return false
-	}
-	if r.status.startCheck(r.Clock.Now()) {
-		go r.checkLeaving(target)
-	}
-	return true
-}
-
-func (r *Runner) checkLeaving(target string) {
-	defer r.status.finishCheck()
-	ctx, cancel := context.WithTimeout(context.Background(), leavingCheckTimeout)
-	defer cancel()
-	answer, err := r.Health.Check(ctx)
-	if err == nil && answer.Healthy && answer.Target == target {
-		r.status.observe(target, answer.Status, "health check", r.Clock.Now())
-	}
+	return r.status.status(r.lifetime(target)).Leaving
 }
 
 func (r *Runner) admit(ctx context.Context, c dispatch.Context, now, deadline clock.Millis) gate.Decision {
@@ -246,7 +233,7 @@
 	r.Dialect.WriteTarget(request.Header, dialect.TargetRequest{
 		RequestID: c.RequestID, Target: c.Target, Account: c.Account, Caller: c.Caller, TimeoutMs: left,
 	})
-	r.status.countSent(c.Target, r.Clock.Now())
+	r.status.countSent(r.lifetime(c.Target), r.Clock.Now())
 	r.retries.begin(c.Repeated)
 	response, err := r.Pool.Do(ctx, request)
 	r.retries.end(c.Repeated)
@@ -258,7 +245,7 @@
 	response.OnClose(cancel)
 	said := r.Dialect.ReadTarget(response.Status, response.Header)
 	if (said.FromTarget || said.NotRun) && !said.WrongTarget {
-		r.status.observe(c.Target, said.Status, "request", r.Clock.Now())
+		r.status.observe(r.lifetime(c.Target), said.Status, r.Clock.Now())
 	}
 	switch {
 	case said.WrongTarget:
--- a/coltsfootd/localtarget/status.go
+++ b/coltsfootd/localtarget/status.go
@@ -3,7 +3,6 @@
 import (
 	"expvar"
 	"sync"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -20,10 +19,6 @@
 	// statuses that can't be read.
 	changeLinesPerSecond     = 3
 	unreadableLinesPerSecond = 1
-	// leavingCheckIntervalMs is the shortest time between two health checks of a target that has said that it leaves. No other
-	// request shows whether it still does.
-	leavingCheckIntervalMs clock.Millis = 1000
-	leavingCheckTimeout                 = 400 * time.Millisecond
 )
 
 // statusMonitor holds the status of the local target and logs what the target states and what it gets.
@@ -41,9 +36,6 @@
 	countedSince  clock.Millis
 	// changeLines and unreadableLines limit the log lines.
 	changeLines, unreadableLines logging.Throttle
-	// checking is true while a health check finds out whether the target still leaves; the next one follows after checkAfter.
-	checking   bool
-	checkAfter clock.Millis
 }
 
 func newStatusMonitor(logger log.Logger, limitChanged func(s targetstatus.Status), now clock.Millis) *statusMonitor {
@@ -54,40 +46,40 @@
 }
 
 // publish exports the counters and the status of the target as metrics.
-func (m *statusMonitor) publish(metrics *expvar.Map, target func() string) {
+func (m *statusMonitor) publish(metrics *expvar.Map, target func() targetstatus.Lifetime) {
 	metrics.Set("targetRequests", &m.requests)
 	metrics.Set("targetStatusUnreadable", &m.unreadable)
 	metrics.Set("targetStatus", expvar.Func(func() any { return m.status(target()) }))
 }
 
-func (m *statusMonitor) status(target string) targetstatus.Status {
+func (m *statusMonitor) status(l targetstatus.Lifetime) targetstatus.Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.tracker.Status(target)
+	return m.tracker.Status(l)
 }
 
-// observe applies what an answer of the target states. The source is the kind of request that it answered.
-func (m *statusMonitor) observe(target string, r targetstatus.Report, source string, now clock.Millis) {
+// observe applies what an answer of the target states.
+func (m *statusMonitor) observe(l targetstatus.Lifetime, r targetstatus.Report, now clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err := r.Err(); err != nil {
 		m.unreadable.Add(1)
 		if m.unreadableLines.Allow(now) {
-			_ = level.Warn(m.logger).Log("msg", "status of the target can't be read, the previous one stays", "target", target,
+			_ = level.Warn(m.logger).Log("msg", "status of the target can't be read, the previous one stays", "target", l.Target,
 				"err", err)
 		}
 	}
-	if s, changed := m.tracker.Observe(target, r); changed {
-		m.apply(target, s, source, now)
+	if s, changed := m.tracker.Observe(l, r); changed {
+		m.apply(l.Target, s, "target", now)
 	}
 }
 
-// adopt takes what another node has learned of the target, if this node has no answer of the target yet.
-func (m *statusMonitor) adopt(target string, s targetstatus.Status, now clock.Millis) {
+// adopt takes what another node has learned of the target.
+func (m *statusMonitor) adopt(l targetstatus.Lifetime, s targetstatus.Status, now clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.tracker.Adopt(target, s) {
-		m.apply(target, s, "peer", now)
+	if m.tracker.Adopt(l, s) {
+		m.apply(l.Target, m.tracker.Status(l), "peer", now)
 	}
 }
 
@@ -95,7 +87,8 @@
 func (m *statusMonitor) forget(target string, now clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if previous := m.tracker.Status(target); m.tracker.Forget(target) && previous != (targetstatus.Status{}) {
+	previous := m.tracker.Status(targetstatus.Lifetime{Target: target})
+	if m.tracker.Forget(target) && previous != (targetstatus.Status{}) {
 		m.apply(target, targetstatus.Status{}, "another target answers", now)
 	}
 }
@@ -109,32 +102,15 @@
 	m.limitChanged(s)
 }
 
-// startCheck reports whether a health check must find out now whether the leaving target still leaves. finishCheck must follow.
-func (m *statusMonitor) startCheck(now clock.Millis) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.checking || now < m.checkAfter {
-		return false
-	}
-	m.checking, m.checkAfter = true, now+leavingCheckIntervalMs
-	return true
-}
-
-func (m *statusMonitor) finishCheck() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.checking = false
-}
-
 // countSent counts a request that is sent to the target. While the target names a limit, a line a second tells how many it got.
-func (m *statusMonitor) countSent(target string, now clock.Millis) {
+func (m *statusMonitor) countSent(l targetstatus.Lifetime, now clock.Millis) {
 	m.requests.Add(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.tracker.Status(target)
+	s := m.tracker.Status(l)
 	if elapsed := now - m.countedSince; elapsed >= requestLogIntervalMs {
 		if s.Limited && m.sent > 0 {
-			_ = level.Info(m.logger).Log("msg", "requests sent to a target with a limit", "target", target, "sent", m.sent,
+			_ = level.Info(m.logger).Log("msg", "requests sent to a target with a limit", "target", l.Target, "sent", m.sent,
 				"refused", m.refused, "periodMs", int64(elapsed), "limitPerSecond", s.LimitPerSecond)
 		}
 		m.sent, m.refused, m.countedSince = 0, 0, now
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -160,7 +160,7 @@
 	n.runner = localtarget.New(localtarget.Config{
 		Clock: n.clock, Dialect: dialect, Views: n.directory,
 		Admission: n.admission, Pool: n.targetPool, Recorder: n.recorder, Sockets: n.sockets,
-		Bodies: n.bodies, CrashGuard: n.crashGuard, Health: n.health,
+		Bodies: n.bodies, CrashGuard: n.crashGuard,
 		Logger: logging.WithPart(n.logger, "target"),
 	})
 	n.retryBudget = forward.NewServiceRetryBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
--- a/core/targetstatus/book.go
+++ b/core/targetstatus/book.go
@@ -21,20 +21,25 @@
 	return &Book{entries: make(map[string]entry)}
 }
 
-// Record stores the status of a target and reports whether it has changed.
-func (b *Book) Record(target string, s Status, now clock.Millis) bool {
-	previous := b.Get(target)
+// Record stores the status in a reply and reports whether what is known of the target has changed. Replies can overtake each
+// other, so a target that leaves goes on leaving.
+func (b *Book) Record(l Lifetime, s Status, now clock.Millis) bool {
+	previous := b.Get(l)
+	s = s.in(l)
+	if previous.Leaving && !s.Leaving {
+		s.Leaving, s.StartedMs = true, previous.StartedMs
+	}
 	if s == (Status{}) {
-		delete(b.entries, target)
+		delete(b.entries, l.Target)
 	} else {
-		b.entries[target] = entry{status: s, heardAt: now}
+		b.entries[l.Target] = entry{status: s, heardAt: now}
 	}
 	return previous != s
 }
 
-// Get returns the status of a target, which is empty if none is known.
-func (b *Book) Get(target string) Status {
-	return b.entries[target].status
+// Get returns the status of a target, which is empty if none is known in this lifetime.
+func (b *Book) Get(l Lifetime) Status {
+	return b.entries[l.Target].status.in(l)
 }
 
 // DropUnlisted removes the statuses of targets that are no longer listed.
--- a/core/targetstatus/tracker.go
+++ b/core/targetstatus/tracker.go
@@ -9,28 +9,36 @@
 
 // Observe applies the report of an answer of the target. It returns the status and whether another one was in force before, of
 // this target or of the one that answered last.
-func (t *Tracker) Observe(target string, r Report) (s Status, changed bool) {
+func (t *Tracker) Observe(l Lifetime, r Report) (s Status, changed bool) {
 	before := t.status
-	t.target, t.status = target, r.appliedTo(t.Status(target))
+	t.target, t.status = l.Target, r.appliedTo(t.Status(l), l)
 	return t.status, t.status != before
 }
 
-// Adopt takes the status that another node has learned, unless this node has an answer of a target itself: that is at least as
-// new, because all answers of the target pass through this node. It reports whether the status was taken.
-func (t *Tracker) Adopt(target string, s Status) bool {
-	if t.target != "" || s == (Status{}) {
+// Adopt takes the status that another node has learned. Unless the target leaves, it counts only if this node has no answer of a
+// target itself: that is at least as new, because all answers of the target pass through this node. Adopt reports whether the
+// status was taken.
+func (t *Tracker) Adopt(l Lifetime, learned Status) bool {
+	learned = learned.in(l)
+	switch known := t.Status(l); {
+	case t.target == "" && learned != Status{}:
+		t.target, t.status = l.Target, learned
+		return true
+	case t.target == l.Target && learned.Leaving && !known.Leaving:
+		known.Leaving, known.StartedMs = true, learned.StartedMs
+		t.status = known
+		return true
+	default:
 		return false
 	}
-	t.target, t.status = target, s
-	return true
 }
 
-// Status returns the status of the target, which is empty if another target answered last.
-func (t *Tracker) Status(target string) Status {
-	if t.target != target {
+// Status returns the status of the target, which is empty if another target answered last, or in an earlier lifetime.
+func (t *Tracker) Status(l Lifetime) Status {
+	if t.target != l.Target {
 		return Status{}
 	}
-	return t.status
+	return t.status.in(l)
 }
 
 // Forget drops the status of a target that no longer serves at the address, and reports whether there was one.
