Refuse requests at the gate of a target that began to leave while they waited

What callers saw: a request reached a target long after the store had acknowledged that it leaves; it had waited at the gate. Cause: the list was asked before a request waited for a slot, and not again when it got one. Change: the list and the target's own word are asked again before a request is sent; a refused one has not run, so that its sender tries another target. The numbers of listed targets by state are published as a metric.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -257,11 +257,23 @@
 		"err", err, "confirmationAgeMs", int64(d.Age()))
 }
 
-// Publish exports the state of the policy and the numbers of platform calls as metrics.
+// Publish exports the state of the policy and of the list of targets, and the numbers of platform calls, as metrics.
 func (d *Directory) Publish(metrics *expvar.Map) {
 	metrics.Set("policyRowsUnusable", expvar.Func(func() any { return d.unusableRows.Load() }))
 	metrics.Set("policyUnreadable", expvar.Func(func() any { return d.unreadable.Load() }))
 	metrics.Set("platformCalls", expvar.Func(d.calls.counts))
+	metrics.Set("targets", expvar.Func(func() any { return d.countTargets() }))
+}
+
+// countTargets returns the number of listed targets by their state.
+func (d *Directory) countTargets() map[vm.State]int {
+	counts := map[vm.State]int{vm.Live: 0, vm.Leaving: 0}
+	if v := d.view.Load(); v != nil {
+		for _, listed := range v.VMs.VMs {
+			counts[listed.State]++
+		}
+	}
+	return counts
 }
 
 // applyPolicy puts the policy into force if it is newer than the current one, and reports whether it is.
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -141,7 +141,7 @@
 	if c.TargetStatus != nil {
 		r.status.adopt(r.lifetime(c.Target), *c.TargetStatus, received)
 	}
-	if r.targetLeaving(c.Target) || r.saysItLeaves(c.Target) {
+	if r.leaves(c.Target) {
 		return refuse(call.ReasonLeaving), nil
 	}
 	if r.absentTargets.contains(c.Target, received) {
@@ -177,19 +177,17 @@
 	return reply, response
 }
 
-// targetLeaving reports whether the target list shows the target as leaving.
-func (r *Runner) targetLeaving(target string) bool {
+// leaves reports whether the target leaves, as the target list shows or as the target itself has stated.
+func (r *Runner) leaves(target string) bool {
+	if r.status.status(r.lifetime(target)).Leaving {
+		return true
+	}
 	v := r.Views.View()
 	if v == nil {
 		return false
 	}
-	own, listed := v.VM(target)
-	return listed && own.State == vm.Leaving
-}
-
-// saysItLeaves reports whether the target has stated that it leaves.
-func (r *Runner) saysItLeaves(target string) bool {
-	return r.status.status(r.lifetime(target)).Leaving
+	own, _ := v.VM(target)
+	return own.State == vm.Leaving
 }
 
 func (r *Runner) admit(ctx context.Context, c dispatch.Context, now, deadline clock.Millis) gate.Decision {
@@ -215,8 +213,8 @@
 	if left <= 0 {
 		return refuse(call.ReasonDeadlineExceeded), nil
 	}
-	if r.saysItLeaves(c.Target) {
-		// The target has said so while the request waited for its turn.
+	if r.leaves(c.Target) {
+		// It has begun to leave while the request waited for its turn, which can take longer than the target still serves.
 		return refuse(call.ReasonLeaving), nil
 	}
 	fingerprint := poison.Fingerprint(c.Account, c.Route, request.Method, request.URI, poison.HashBody(request.Body))
