Keep an unlisted target in use only while its node is cut off from the store

Cause: a target whose entry had vanished was kept in use while its health path said that it serves. That was made for machines that are cut off from the store, but a target that leaves without reporting it looks the same, and a false health answer kept it. Evidence: TestUnlistedTargetIsUsedOnlyWhileItsNodeIsCutOffFromThePlatform failed before: in use after 15 s. Change: the node beside the target first reads the target's entry itself, with a cheap read. If the store answers, whatever it says, the machine isn't cut off, and the entry's removal stands. Only otherwise the health answer counts.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -44,6 +44,8 @@
 	Contacts(ctx context.Context) ([]vm.VM, error)
 	// Targets returns the whole list of targets, and an error for each entry that could not be used.
 	Targets(ctx context.Context) (roster.Delta, []error, error)
+	// Listed reports whether the platform lists the target. The answer may be seconds old.
+	Listed(ctx context.Context, target string) (bool, error)
 	// WatchTargets waits for changes of the list after the position. It fails if the platform was restored since.
 	WatchTargets(ctx context.Context, after history.Position, wait clock.Millis) (roster.Delta, []error, error)
 	// WatchPolicy waits for a policy written after the position, and returns that from which to continue. The policy is nil if
--- a/coltsfootd/directory/directory_test.go
+++ b/coltsfootd/directory/directory_test.go
@@ -77,6 +77,10 @@
 	return roster.Delta{Revision: 1, Full: true, Changes: p.list}, nil, nil
 }
 
+func (p *countingPlatform) Listed(context.Context, string) (bool, error) {
+	return false, nil
+}
+
 func (p *countingPlatform) WatchTargets(ctx context.Context, _ history.Position, _ clock.Millis) (roster.Delta, []error, error) {
 	p.watches.Add(1)
 	<-ctx.Done()
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -43,12 +43,13 @@
 
 // platformCalls counts the platform calls by kind.
 type platformCalls struct {
-	policies, lists, contacts, watches atomic.Int64
+	policies, lists, contacts, watches, entries atomic.Int64
 }
 
 func (c *platformCalls) counts() any {
 	return map[string]int64{
 		"policy": c.policies.Load(), "list": c.lists.Load(), "contacts": c.contacts.Load(), "watch": c.watches.Load(),
+		"entry": c.entries.Load(),
 	}
 }
 
--- a/coltsfootd/directory/restore_test.go
+++ b/coltsfootd/directory/restore_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
@@ -31,8 +34,12 @@
 	changed chan struct{}
 	// watched is the position of the latest watch of the list.
 	watched history.Position
+	// unreachable makes calls about a single target fail.
+	unreachable atomic.Bool
 }
 
+var errUnreachable = errors.New("the platform can't be reached")
+
 func newRestorablePlatform(epoch, revision int64, changes ...roster.Change) *restorablePlatform {
 	p := &restorablePlatform{changed: make(chan struct{})}
 	p.policy = published.Policy{Version: 1}
@@ -79,6 +86,13 @@
 	return p.list, nil, p.listErr
 }
 
+func (p *restorablePlatform) Listed(context.Context, string) (bool, error) {
+	if p.unreachable.Load() {
+		return false, errUnreachable
+	}
+	return false, nil
+}
+
 func (p *restorablePlatform) WatchTargets(
 	ctx context.Context, after history.Position, _ clock.Millis,
 ) (roster.Delta, []error, error) {
@@ -117,6 +131,13 @@
 	}, poll.WithTimeout(waitLimit))
 }
 
+const targetAddress = "127.0.0.1:80"
+
+// healthyTarget is a target whose health answers say that it serves, whether it leaves or not.
+type healthyTarget struct{}
+
+func (healthyTarget) Serves(context.Context, string) bool { return true }
+
 // startReader runs the directory of a node that reads the platform, on a real clock.
 func startReader(t *testing.T, platform directory.Platform) *directory.Directory {
 	t.Helper()
@@ -124,6 +145,7 @@
 	d := directory.New(directory.Config{
 		Address: ownAddress, FailureDomain: "d", Incarnation: 1, LeaseMs: 3000, Clock: c, Platform: platform,
 		Peers: peers.New("127.0.0.1", c, socket.NewBudget(1000), log.NewNopLogger()), Logger: log.NewNopLogger(),
+		TargetAddress: targetAddress, Target: healthyTarget{},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -135,7 +157,7 @@
 func targetAt(epoch, revision, report int64, state vm.State) roster.Change {
 	c := listedTarget("t1", ownAddress)
 	c.Epoch, c.Revision = epoch, revision
-	c.VM.State, c.VM.StartedMs, c.VM.Sequence = state, 1000, report
+	c.VM.State, c.VM.StartedMs, c.VM.Sequence, c.VM.TargetAddress = state, 1000, report, targetAddress
 	return c
 }
 
@@ -180,3 +202,32 @@
 		}, poll.WithTimeout(waitLimit))
 	}
 }
+
+// Guards against a target that has left and stays in use because its health answers are false: while the platform answers the
+// node beside it, the target isn't only cut off from the platform. A target that is cut off together with its node stays in use.
+func TestUnlistedTargetIsUsedOnlyWhileItsNodeIsCutOffFromThePlatform(t *testing.T) {
+	other := listedTarget("t2", otherAddress)
+	for _, cutOff := range []bool{false, true} {
+		platform := newRestorablePlatform(1, 27, targetAt(1, 27, 3, vm.Live), other)
+		platform.unreachable.Store(cutOff)
+		d := startReader(t, platform)
+		platform.waitForWatch(t, history.Position{Epoch: 1, Revision: 27})
+		platform.restore(1, 28, other)
+		platform.write(roster.Change{Name: "t1", Epoch: 1, Revision: 28})
+		inUse := func() bool {
+			_, listed := d.View().VM("t1")
+			return listed
+		}
+		if cutOff {
+			time.Sleep(2 * roster.ServingConfirmationMs.Duration())
+			assert.Assert(t, inUse())
+			platform.unreachable.Store(false)
+		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if inUse() {
+				return poll.Continue("the target is in use")
+			}
+			return poll.Success()
+		}, poll.WithTimeout(15*time.Second))
+	}
+}
--- a/coltsfootd/directory/serving.go
+++ b/coltsfootd/directory/serving.go
@@ -10,13 +10,18 @@
 )
 
 const (
-	servingCheckTimeout = 400 * time.Millisecond
+	// servingCheckTimeout and platformCheckTimeout are shorter than roster.UnlistedGraceMs, so that the confirmation reaches the
+	// other nodes in time.
+	servingCheckTimeout  = 400 * time.Millisecond
+	platformCheckTimeout = 250 * time.Millisecond
 	// servingCheckIntervalMs is how often a node confirms that its target serves while the list lacks it.
 	servingCheckIntervalMs clock.Millis = 600
 )
 
 // checkServing checks whether the local target still serves if its entry has vanished from the list, and tells the other nodes. A
-// machine that is cut off from the platform can still serve the nodes that reach it.
+// machine that is cut off from the platform can still serve the nodes that reach it. If the platform answers this node, the
+// target is gone whatever its health answers say: some targets leave without a word, and a false health answer must not keep
+// them in use.
 func (d *Directory) checkServing(ctx context.Context, now clock.Millis) {
 	if d.checkingServing || now < d.checkServingAfter {
 		return
@@ -29,11 +34,20 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, servingCheckTimeout)
 		defer cancel()
-		serves := d.Target.Serves(ctx, own.Name)
+		serves := !d.platformAnswers(ctx, own.Name) && d.Target.Serves(ctx, own.Name)
 		d.enqueue(func(now clock.Millis) { d.finishServingCheck(own.Name, serves, now) })
 	}()
 }
 
+// platformAnswers reports whether the platform answers a read of the target's entry.
+func (d *Directory) platformAnswers(ctx context.Context, target string) bool {
+	ctx, cancel := context.WithTimeout(ctx, platformCheckTimeout)
+	defer cancel()
+	d.calls.entries.Add(1)
+	_, err := d.Platform.Listed(ctx, target)
+	return err == nil
+}
+
 func (d *Directory) finishServingCheck(target string, serves bool, now clock.Millis) {
 	d.checkingServing = false
 	_ = level.Info(d.Logger).Log("msg", "own target is not listed", "target", target, "serves", serves)
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -138,6 +138,13 @@
 	s.targets[i] = roster.Change{Name: v.Name, Revision: s.revision, VM: &v}
 }
 
+func (s *fakePlatform) Listed(context.Context, string) (bool, error) {
+	if s.unavailable.Load() {
+		return false, errUnavailable
+	}
+	return false, nil
+}
+
 func (s *fakePlatform) WatchTargets(ctx context.Context, after history.Position, _ clock.Millis) (roster.Delta, []error, error) {
 	<-ctx.Done()
 	return roster.Delta{}, nil, errUnavailable
