--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -111,6 +111,8 @@
 	targetsKnown bool
 	// epoch is the latest epoch of the platform's store that this node knows, or unknownEpoch.
 	epoch int64
+	// policyReadEpoch is the epoch in which this node last read the policy from the platform.
+	policyReadEpoch int64
 
 	// discovered holds the nodes found before the list of targets is known, discoveredAt the time at which the first were found.
 	discovered   Nodes
@@ -143,7 +145,7 @@
 func New(c Config) *Directory {
 	d := &Directory{
 		Config: c, events: make(chan func(clock.Millis), eventQueueSize), stopped: make(chan struct{}),
-		roster: roster.New(), epoch: unknownEpoch,
+		roster: roster.New(), epoch: unknownEpoch, policyReadEpoch: unknownEpoch,
 		random: rand.New(rand.NewPCG(c.Incarnation, uint64(c.Clock.Now()))),
 	}
 	d.confirmedAt.Store(int64(clock.Never))
--- a/coltsfootd/directory/epoch.go
+++ b/coltsfootd/directory/epoch.go
@@ -4,6 +4,7 @@
 	"github.com/go-kit/log/level"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/published"
 )
 
 const (
@@ -13,6 +14,16 @@
 	maxEpochStep = 1000
 )
 
+// logFirstRead logs the first policy that this node reads in an epoch, which can be older than the one in force.
+func (d *Directory) logFirstRead(p published.Policy) {
+	if d.policyReadEpoch == p.Epoch {
+		return
+	}
+	d.policyReadEpoch = p.Epoch
+	_ = level.Info(d.Logger).Log("msg", "first policy read in this epoch", "epoch", p.Epoch, "version", p.Version,
+		"inForce", d.policyVersion(), "confirmationAgeMs", int64(d.Age()))
+}
+
 // noteEpoch records the epoch of an answer of the platform or of a list from another node, and reports whether it is the current
 // one. An earlier epoch means that the answer was written before the platform was restored, so that nothing in it is certain.
 func (d *Directory) noteEpoch(epoch int64, source string, now clock.Millis) bool {
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -125,6 +125,7 @@
 	case !d.noteEpoch(p.Epoch, platformSource, now):
 		d.readPolicyAfter = now + d.recordPlatformFailure("policy", errWrongEpoch)
 	default:
+		d.logFirstRead(p)
 		d.policyReadAt = now
 		d.unreadable.Store(false)
 		d.recordPlatformSuccess(now)
