--- a/coltsfootd/directory/restore_test.go
+++ b/coltsfootd/directory/restore_test.go
@@ -33,7 +33,8 @@
 	pending []roster.Change
 	changed chan struct{}
 	// watched is the position of the latest watch of the list.
-	watched history.Position
+	watched     history.Position
+	policyReads atomic.Int64
 	// unreachable makes calls about a single target fail.
 	unreachable atomic.Bool
 }
@@ -75,6 +76,7 @@
 }
 
 func (p *restorablePlatform) Policy(context.Context) (published.Policy, error) {
+	p.policyReads.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.policy, nil
