Ask other nodes before a policy of the restored store is put in force

What callers saw on systems like this one: a confirmed configuration came back older. Cause: a node that reads for the fleet put what the store showed in force at its start, and never asked others while its reads succeeded; a node that had been cut off counted the copy's policy as confirmed. A message from a node with a newer policy was no reason to ask it. While the copy lacked the policy in force, each node read the store again at once. Why this works: a node without values, or without a lease when the epoch changes, hears from one other node before it reads policy and list, for a second at most if none answers; a higher version in any message makes it ask the sender; the epoch spreads with every message between nodes, so that a reader that hears of it late reads the list again.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -132,7 +132,12 @@
 	// since the last successful one.
 	policyReadAt clock.Millis
 	syncAttempts int
-	stopWatches  context.CancelFunc
+	// newerPeer is a node that has a newer policy, or "". It is asked next.
+	newerPeer string
+	// While heardFromPeer is false, this node asks others before it reads the platform, until askPeersUntil.
+	heardFromPeer bool
+	askPeersUntil clock.Millis
+	stopWatches   context.CancelFunc
 	// watchedEpoch is the epoch of the running watches.
 	watchedEpoch int64
 	calls        platformCalls
@@ -209,17 +214,18 @@
 	rank := d.rank(nodes)
 	age := d.confirmationAge(now)
 	d.discoverNodes(ctx, now)
+	peersFirst := d.asksPeersFirst(nodes, now)
 	readDue := confirmationSchedule.ReadDue(rank, age) || rank == 0 && d.policy == nil
-	if len(nodes.All) > 0 && !d.readingPolicy && now >= d.readPolicyAfter && readDue {
+	if len(nodes.All) > 0 && !d.readingPolicy && now >= d.readPolicyAfter && readDue && !peersFirst {
 		d.startPolicyRead(ctx, now)
 	}
 	reader := slices.Contains(nodes.All, d.Address) && (rank == 0 || now < d.policyReadAt+readerHoldMs)
-	if reader && !d.listingTargets && now >= d.listTargetsAfter {
+	if reader && !d.listingTargets && now >= d.listTargetsAfter && !peersFirst {
 		d.startTargetsRead(ctx, now)
 	}
 	d.checkServing(ctx, now)
 	d.updateWatches(ctx, reader)
-	syncDue := confirmationSchedule.AskDue(rank, age) || rank > 0 && d.starting(now)
+	syncDue := confirmationSchedule.AskDue(rank, age) || rank > 0 && d.starting(now) || peersFirst || d.newerPeer != ""
 	if len(nodes.All) > 0 && !d.syncing && now >= d.syncAfter && syncDue {
 		d.startSync(ctx, nodes, now)
 	}
@@ -230,6 +236,12 @@
 	return d.view.Load() == nil || d.lease.Age(now) == clock.Never
 }
 
+// asksPeersFirst reports whether this node must hear from another one before it reads the platform. A node that has just started,
+// or that was long without a confirmation when the platform was restored, may lack values that the platform's copy lacks, too.
+func (d *Directory) asksPeersFirst(nodes Nodes, now clock.Millis) bool {
+	return !d.heardFromPeer && now < d.askPeersUntil && d.randomReachable(nodes.All) != ""
+}
+
 // nodes returns the nodes of the list in force or, before a list is known, the discovered ones.
 func (d *Directory) nodes() Nodes {
 	if v := d.view.Load(); v != nil {
--- a/coltsfootd/directory/epoch.go
+++ b/coltsfootd/directory/epoch.go
@@ -35,6 +35,9 @@
 		return epoch == d.epoch
 	}
 	d.epoch = epoch
+	if !d.Fresh() {
+		d.askPeersFirst(now)
+	}
 	known := d.roster.Position()
 	_ = level.Warn(d.Logger).Log("msg", "platform was restored from a copy, its list is read again", "epoch", epoch,
 		"knownEpoch", known.Epoch, "knownRevision", known.Revision, "source", source)
@@ -44,3 +47,8 @@
 	d.listTargetsAfter = min(d.listTargetsAfter, now)
 	return true
 }
+
+// askPeersFirst makes this node hear from another one before it reads the platform, or reads it again.
+func (d *Directory) askPeersFirst(now clock.Millis) {
+	d.heardFromPeer, d.askPeersUntil = false, now+peersFirstMs
+}
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -25,6 +25,8 @@
 	maxRetryDoublings              = 4
 	// noPolicyRetryMs is the delay after a read that found no policy. All nodes of a new fleet wait for the first one.
 	noPolicyRetryMs clock.Millis = 600
+	// peersFirstMs is the time in which a node that may lack values tries to hear from another node before it reads the platform.
+	peersFirstMs clock.Millis = 1000
 	// listIntervalMs is how often a node that watches the platform also reads the whole list of targets, in case a watch no
 	// longer delivers changes.
 	listIntervalMs clock.Millis = 3000
@@ -71,6 +73,7 @@
 			}
 			if len(d.discovered.All) == 0 {
 				d.discoveredAt = done
+				d.askPeersFirst(done)
 			}
 			d.discovered = newNodes(vms, d.FailureDomain)
 			d.discoverAfter = done + d.discoveryInterval()
@@ -124,6 +127,8 @@
 		d.readPolicyAfter = now + d.recordPlatformFailure("policy", err)
 	case !d.noteEpoch(p.Epoch, platformSource, now):
 		d.readPolicyAfter = now + d.recordPlatformFailure("policy", errWrongEpoch)
+	case d.asksPeersFirst(d.nodes(), now):
+		d.readPolicyAfter = now
 	default:
 		d.logFirstRead(p)
 		d.policyReadAt = now
@@ -131,7 +136,19 @@
 		d.recordPlatformSuccess(now)
 		d.applyPolicy(p, platformSource)
 		d.confirm(p.Version, sentAt, platformSource)
+		if p.Version < d.policyVersion() {
+			// A restored platform lacks the policy in force until the operators write it again.
+			d.readPolicyAfter = now + d.missingPolicyRetry()
+		}
+	}
+}
+
+// missingPolicyRetry returns the delay after a read that doesn't show the policy in force.
+func (d *Directory) missingPolicyRetry() clock.Millis {
+	if d.rank(d.nodes()) < topRanks {
+		return noPolicyRetryMs
 	}
+	return lowRankRetryMaxMs
 }
 
 func (d *Directory) startTargetsRead(ctx context.Context, now clock.Millis) {
--- a/coltsfootd/directory/restore_test.go
+++ b/coltsfootd/directory/restore_test.go
@@ -27,8 +27,8 @@
 	mu     sync.Mutex
 	policy published.Policy
 	list   roster.Delta
-	// listErr makes reads of the list fail.
-	listErr error
+	// policyErr and listErr make reads of the policy and of the list fail.
+	policyErr, listErr error
 	// pending are changes that the next watch returns.
 	pending []roster.Change
 	changed chan struct{}
@@ -79,7 +79,7 @@
 	p.policyReads.Add(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.policy, nil
+	return p.policy, p.policyErr
 }
 
 func (p *restorablePlatform) Targets(context.Context) (roster.Delta, []error, error) {
--- a/coltsfootd/directory/start_test.go
+++ b/coltsfootd/directory/start_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,10 +32,25 @@
 
 // runNode runs a node of the failure domain d on a real clock.
 func runNode(t *testing.T, address string, incarnation uint64, platform directory.Platform) *runningNode {
+	t.Helper()
+	return runNodeWith(t, clock.NewMonotonic(), address, incarnation, platform)
+}
+
+// manualClock shows the time that a test sets, and counts how often it is read.
+type manualClock struct{ now, reads atomic.Int64 }
+
+func (c *manualClock) Now() clock.Millis {
+	c.reads.Add(1)
+	return clock.Millis(c.now.Load())
+}
+
+// runNodeWith runs a node of the failure domain d.
+func runNodeWith(
+	t *testing.T, c clock.Clock, address string, incarnation uint64, platform directory.Platform,
+) *runningNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
-	c := clock.NewMonotonic()
 	n := &runningNode{address: address}
 	n.Directory = directory.New(directory.Config{
 		Address: n.address, FailureDomain: "d", Incarnation: incarnation, LeaseMs: 3000, Clock: c, Platform: platform,
@@ -123,17 +142,72 @@
 // in a message that it has a newer one.
 func TestNodeAsksTheSenderOfAMessageForItsNewerPolicy(t *testing.T) {
 	first, second := newAddresses(t)
-	list := []roster.Change{targetOf("t1", first, 1, 1, 1, vm.Live), targetOf("t2", second, 1, 2, 1, vm.Live)}
-	older, newer := newRestorablePlatform(1, 9, list...), newRestorablePlatform(1, 9, list...)
+	t1, t2 := targetOf("t1", first, 1, 1, 1, vm.Live), targetOf("t2", second, 1, 2, 1, vm.Live)
+	// Neither node lists the other, so that they don't meet before the message.
+	older, newer := newRestorablePlatform(1, 9, t1), newRestorablePlatform(1, 9, t2)
 	older.policy.Version, newer.policy.Version = 10, 12
-	behind := runNode(t, first, 1, older)
+	behind, ahead := runNode(t, first, 1, older), runNode(t, second, 2, newer)
 	behind.waitForVersion(t, 10)
-	ahead := runNode(t, second, 2, newer)
 	ahead.waitForVersion(t, 12)
-	ahead.AnnouncePresence()
+	recorder := httptest.NewRecorder()
+	message := fmt.Sprintf(`{"from":%q,"incarnation":"2","policyVersion":12,"ageMs":5}`, second)
+	behind.ServeSync(recorder, httptest.NewRequest(http.MethodPost, directory.SyncPath, strings.NewReader(message)))
+	assert.Equal(t, recorder.Code, http.StatusOK)
 	behind.waitForVersion(t, 12)
 }
 
+// A node is cut off, and the store returns from a copy when the cut heals. Guards against a node that counts the copy's policy as
+// confirmed, although it has missed a newer one that others have.
+func TestCopyOfTheStoreConfirmsNothingBeforeOtherNodesAreAsked(t *testing.T) {
+	first, second := newAddresses(t)
+	platform := newRestorablePlatform(1, 9, targetOf("t1", first, 1, 1, 1, vm.Live), targetOf("t2", second, 1, 2, 1, vm.Live))
+	platform.policy.Version = 10
+	// reply is the other node's reply to a sync request; it is empty while the nodes are cut off from each other.
+	var reply atomic.Value
+	reply.Store(`{"ageMs":-1}`)
+	listener, err := net.Listen("tcp", second)
+	assert.NilError(t, err)
+	other := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if reply.Load() == "" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = fmt.Fprint(w, reply.Load())
+	})}
+	go func() { _ = other.Serve(listener) }() // Returns after Close.
+	t.Cleanup(func() { _ = other.Close() })
+	c := &manualClock{}
+	c.now.Store(60_000)
+	d := runNodeWith(t, c, first, 1, platform)
+	d.waitForVersion(t, 10)
+	setPolicyErr := func(err error) {
+		platform.mu.Lock()
+		defer platform.mu.Unlock()
+		platform.policyErr = err
+	}
+	setPolicyErr(errUnreachable)
+	reply.Store("")
+	c.now.Add(5000)
+	waitForTicks(t, &c.reads)
+	assert.Assert(t, !d.Fresh())
+	platform.restore(2, 9, targetOf("t1", first, 2, 1, 1, vm.Live), targetOf("t2", second, 2, 2, 1, vm.Live))
+	setPolicyErr(nil)
+	// The node tries the store again, and hears of the restore.
+	c.now.Add(3000)
+	waitForTicks(t, &c.reads)
+	assert.Assert(t, !d.Fresh(), "the copy's policy is confirmed")
+	reply.Store(`{"ageMs":5,"policyVersion":12,"policy":{"version":12}}`)
+	c.now.Add(300)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		version := d.View().PolicyVersion
+		assert.Assert(t, version == 12 || !d.Fresh(), "the copy's policy is confirmed")
+		if version != 12 {
+			return poll.Continue("version %d is in force", version)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(waitLimit), poll.WithDelay(time.Millisecond))
+}
+
 // Guards against a fleet that reads the store all the time while the copy of the store lacks the policy in force.
 func TestPolicyMissingInTheCopyIsReadAgainOnlyAfterTheRetryDelay(t *testing.T) {
 	platform := newRestorablePlatform(1, 9, targetAt(1, 9, 1, vm.Live))
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -108,7 +108,11 @@
 
 // startSync asks a peer for a newer confirmation and newer values.
 func (d *Directory) startSync(ctx context.Context, nodes Nodes, now clock.Millis) {
-	address := d.nextSyncPeer(nodes, now)
+	address := d.newerPeer
+	d.newerPeer = ""
+	if address == "" {
+		address = d.nextSyncPeer(nodes, now)
+	}
 	if address == "" {
 		d.syncAfter = now + syncRetryMs
 		return
@@ -167,6 +171,7 @@
 func (d *Directory) finishSync(address string, reply syncMessage, err error, sentAt, now clock.Millis) {
 	d.syncing = false
 	if err == nil {
+		d.heardFromPeer = true
 		d.applyMessage(reply, address, now)
 		if reply.AgeMs >= 0 {
 			// The peer measured its age after this request was sent, so counting back from sentAt never makes the confirmation
@@ -194,6 +199,9 @@
 
 // applyMessage applies the values in a message.
 func (d *Directory) applyMessage(m syncMessage, source string, now clock.Millis) {
+	if m.Revision > 0 {
+		d.noteEpoch(m.Epoch, source, now)
+	}
 	if m.Policy != nil {
 		d.applyPolicy(*m.Policy, source)
 	}
@@ -205,6 +213,13 @@
 	}
 }
 
+// askNewerPeer asks the sender of a message next if it has a newer policy than this node.
+func (d *Directory) askNewerPeer(m syncMessage, now clock.Millis) {
+	if m.From != "" && m.Policy == nil && m.PolicyVersion > d.policyVersion() {
+		d.newerPeer, d.syncAfter = m.From, min(d.syncAfter, now)
+	}
+}
+
 // propagate passes an update on. A node that received it from the platform sends it to its own failure domain and to the leader
 // of each other domain. A domain leader that received it from another domain sends it to its own.
 func (d *Directory) propagate(source string, m syncMessage) {
@@ -281,6 +296,7 @@
 	reply := make(chan syncMessage, 1)
 	d.enqueue(func(now clock.Millis) {
 		d.applyMessage(m, m.From, now)
+		d.askNewerPeer(m, now)
 		reply <- d.replyTo(m, now)
 	})
 	select {
