--- a/core/roster/departure.go
+++ b/core/roster/departure.go
@@ -42,8 +42,11 @@
 	return &departures{byName: make(map[string]departure), heldFrom: -outdatedHoldMs}
 }
 
-// record stores a removal.
+// record stores a removal, once.
 func (d *departures) record(c Change, now clock.Millis) {
+	if known, removed := d.byName[c.Name]; removed && !known.change.Position().Before(c.Position()) {
+		return
+	}
 	if last := d.byName[c.Name].change.Last; last != nil && (c.Last == nil || last.MayFollow(*c.Last)) {
 		c.Last = last
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/roster"
 	"coltsfootusher.example/core/vm"
@@ -186,3 +187,13 @@
 	reader.Apply(ahead, 0)
 	assert.DeepEqual(t, reader.DeltaToForward(history.Position{Revision: 100}, ahead), ahead)
 }
+
+// Guards against a list entry that can't be used, is in every list, and drives the removals of real targets out of memory.
+func TestEntryThatIsNeverUsableIsRecordedOnce(t *testing.T) {
+	r := roster.New()
+	list := roster.Delta{Revision: 9, Full: true, Changes: []roster.Change{listed("a", 2, vm.Live), {Name: "odd", Revision: 3}}}
+	for i := range 2000 {
+		r.Apply(list, clock.Millis(i))
+	}
+	assert.Equal(t, len(r.DeltaSince(history.Position{Revision: 1}).Changes), 2)
+}
