Send a request that goes to the same target again on a connection of its own

Reported by other operators: a faulty target wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for a request that ran. Here answers are matched by request id, but a request that a target has refused may be sent to the same target again when no other is left, with the same id and on the same connection. Change: the sender says that it has tried the target before, and the node beside the target then opens a connection, on which nothing old can follow. Other requests skip an answer with another id, as before.

--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -109,6 +109,7 @@
 	s.RetryBudget.OnRequest(j.Service, j.Repeated, s.Clock.Now())
 	last := Result{Reply: dispatch.Reply{Reason: call.ReasonNoTarget, Run: call.NotRun}}
 	excluded := make(map[string]bool)
+	tried := make(map[string]bool)
 	// sent counts the targets that may have started the request, refusals the gates that did not admit it.
 	sent, refusals, limitRefusals := 0, 0, 0
 	mayHaveRun := false
@@ -122,7 +123,8 @@
 		if !ok {
 			return s.finalResult(last, mayHaveRun)
 		}
-		excluded[v.Name] = true
+		j.Resent = tried[v.Name]
+		excluded[v.Name], tried[v.Name] = true, true
 		j.Attempt = last.Attempts
 		reply, response := s.attempt(ctx, v, j, choice)
 		last = Result{Reply: reply, Response: response, Target: v.Name, Attempts: last.Attempts + 1}
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -232,6 +232,7 @@
 		RequestID: c.RequestID, Target: c.Target, Account: c.Account, Caller: c.Caller, TimeoutMs: left,
 	})
 	r.status.countSent(r.lifetime(c.Target), r.Clock.Now())
+	request.NewConn = c.Resent
 	r.retries.begin(c.Repeated)
 	response, err := r.Pool.Do(ctx, request)
 	r.retries.end(c.Repeated)
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -60,7 +60,8 @@
 
 func (plainDialect) ReadTarget(status int, h http.Header) dialect.TargetAnswer {
 	return dialect.TargetAnswer{
-		FromTarget: h.Get("By") != "", WrongTarget: status == http.StatusMisdirectedRequest, Status: readStatus(h),
+		FromTarget: h.Get("By") != "", WrongTarget: status == http.StatusMisdirectedRequest, NotRun: h.Get("Not-Run") != "",
+		Status: readStatus(h),
 	}
 }
 
@@ -175,6 +176,9 @@
 	loseAnswers  atomic.Bool
 	holdRequests atomic.Bool
 	leaving      atomic.Bool
+	// repeatRefusals makes the target refuse the first request on each connection, and write that refusal again when the next
+	// one arrives, which it runs.
+	repeatRefusals atomic.Bool
 	// limit is the value of the limit header, or "" for none.
 	limit   atomic.Value
 	release chan struct{}
@@ -227,6 +231,10 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
+	if tg.repeatRefusals.Load() {
+		tg.refuseTwice(w, r)
+		return
+	}
 	tg.mu.Lock()
 	tg.latest = targetRequest{uri: r.RequestURI, body: string(body), header: r.Header}
 	tg.mu.Unlock()
@@ -246,6 +254,30 @@
 	_, _ = fmt.Fprintf(w, "%s ran it", tg.id)
 }
 
+// refuseTwice takes the connection over. It refuses the first request and writes the refusal again when the next one arrives.
+func (tg *fakeTarget) refuseTwice(w http.ResponseWriter, r *http.Request) {
+	c, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	go func() {
+		defer func() { _ = c.Close() }()
+		refusal := fmt.Sprintf("HTTP/1.1 503 Full\r\nId: %s\r\nBy: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+			r.Header.Get("Id"), tg.id)
+		_, _ = io.WriteString(c, refusal)
+		for {
+			next, err := http.ReadRequest(buffered.Reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, next.Body)
+			tg.runs.Add(1)
+			_, _ = io.WriteString(c, refusal)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nBy: %s\r\nContent-Length: 4\r\n\r\ndone", next.Header.Get("Id"), tg.id)
+		}
+	}()
+}
+
 func (tg *fakeTarget) writeHeaders(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("By", tg.id)
--- a/coltsfootd/upstream/message.go
+++ b/coltsfootd/upstream/message.go
@@ -14,6 +14,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// NewConn makes the pool open a connection. It is needed if the same request has been sent to the receiver before: a late copy
+	// of the earlier response has the same id as the response to this one.
+	NewConn bool
 }
 
 // write sends the request. Its header must not contain hop-by-hop headers.
--- a/coltsfootd/upstream/pool.go
+++ b/coltsfootd/upstream/pool.go
@@ -92,7 +92,7 @@
 
 // Do sends the request once and returns the response. The error is always a *RequestError.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx)
+	c, err := p.acquire(ctx, !r.NewConn)
 	if err != nil {
 		return nil, &RequestError{Unreachable: ctx.Err() == nil, Err: err}
 	}
@@ -144,9 +144,9 @@
 	return result, nil
 }
 
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, reuse bool) (*conn, error) {
 	now := time.Now()
-	for {
+	for reuse {
 		c := p.popIdle()
 		if c == nil {
 			break
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -41,6 +41,8 @@
 	TimeoutMs clock.Millis `json:"timeoutMs"`
 	// Attempt is 0 for the first attempt.
 	Attempt int `json:"attempt,omitempty"`
+	// Resent is true if the sender has sent this request to the same target before.
+	Resent bool `json:"resent,omitempty"`
 	// Repeated is the probability that the request is a retry, or an inner call of one.
 	Repeated float64 `json:"repeated,omitempty"`
 	// TargetStatus is what the sender has learned of the target's statements about itself, in case the node beside the target has
