Restore the soak's store from copies, and restart targets that say that they leave

The soak had no store that loses what it has acknowledged. A target that says that it leaves is now restarted afterwards, because nothing else makes it stay.

--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -31,6 +31,10 @@
 	policyEvery = 2500 * time.Millisecond
 	// mostPolicies is the largest number of policies that follow each other at once.
 	mostPolicies = 3
+	// oldestCopy is the age of the oldest copy from which the store is restored, entryLife the time for which it keeps entries that
+	// are no longer written.
+	oldestCopy = 8 * time.Second
+	entryLife  = 4 * time.Second
 )
 
 // subject is what a fault has to work on.
@@ -87,7 +91,11 @@
 		})
 	}},
 	{"target says it leaves", func(s subject) error {
-		return s.state(statement{leaving: true}, platformtest.Behaviour{WorkTime: targetWork, Leaving: true})
+		if err := s.state(statement{leaving: true}, platformtest.Behaviour{WorkTime: targetWork, Leaving: true}); err != nil {
+			return err
+		}
+		// Nothing but a restart makes it stay.
+		return s.replace(s.random%2 == 0)
 	}},
 	{"cut one way", func(s subject) error { return s.cut(link.Direction{From: s.one.name, To: s.other.name}) }},
 	{"cut both ways", func(s subject) error { return s.cut(both(s.one.name, s.other.name)...) }},
@@ -116,6 +124,7 @@
 	{"store is down", func(s subject) error { return s.trouble(platformtest.Fault{Refuse: true}) }},
 	{"store is slow", func(s subject) error { return s.trouble(platformtest.Fault{Delay: slowStore}) }},
 	{"store loses answers", func(s subject) error { return s.trouble(platformtest.Fault{LoseAnswers: true}) }},
+	{"store is restored", func(s subject) error { return s.restoreStore() }},
 	{"store forgets history", func(s subject) error { s.fleet.store.ForgetHistory(); return nil }},
 	{"new policy", func(s subject) error {
 		for range 1 + s.random%mostPolicies {
@@ -132,6 +141,27 @@
 	return []link.Direction{{From: a, To: b}, {From: b, To: a}}
 }
 
+// restoreStore takes the store away for a moment and brings it back from a copy. The operator and the targets write again what it
+// has lost.
+func (s subject) restoreStore() error {
+	f := s.fleet
+	f.store.SetFault(platformtest.Fault{Refuse: true})
+	s.wait(s.length / 4)
+	f.store.Restore(time.Duration(s.random % uint64(oldestCopy)))
+	f.store.SetFault(platformtest.Fault{})
+	if err := f.publishAgain(); err != nil {
+		return err
+	}
+	for _, v := range f.vms {
+		if err := v.publishAgain(); err != nil {
+			return err
+		}
+	}
+	s.wait(entryLife)
+	f.removeDeadEntries()
+	return nil
+}
+
 func (s subject) restart(signal syscall.Signal) error {
 	// As on the platform, a process is not started while its predecessor still ends.
 	s.one.restarting.Lock()
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -142,6 +142,26 @@
 	return nil
 }
 
+// publishAgain publishes the current policy again.
+func (f *fleet) publishAgain() error {
+	f.policyMu.Lock()
+	defer f.policyMu.Unlock()
+	return Error.Wrap(f.store.PublishPolicy(f.policy.published()))
+}
+
+// removeDeadEntries removes the entries of targets that have been replaced, which a restored store lists again.
+func (f *fleet) removeDeadEntries() {
+	current := make(map[string]bool, len(f.vms))
+	for _, v := range f.vms {
+		current[v.targetID()] = true
+	}
+	for _, id := range f.store.TargetIDs() {
+		if !current[id] {
+			f.store.RemoveTarget(id)
+		}
+	}
+}
+
 // revocable returns the number of the key that can be withdrawn next.
 func (f *fleet) revocable() int {
 	f.policyMu.Lock()
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -164,6 +164,9 @@
 	}
 	v.starts++
 	if !sameID || v.entry.ID == "" {
+		if v.entry.ID != "" {
+			v.fleet.store.RemoveTarget(v.entry.ID) // A restored store may list the former target again.
+		}
 		v.entry.ID = fmt.Sprintf("t%d-%d", v.number, v.starts)
 	}
 	v.entry.Service, v.entry.FailureDomain, v.entry.Address = v.service, v.domain, v.address(targetPort)
@@ -197,6 +200,17 @@
 	return Error.Wrap(v.fleet.store.PublishTarget(v.entry))
 }
 
+// publishAgain publishes the entry of a running target again.
+func (v *vm) publishAgain() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.target == nil {
+		return nil
+	}
+	v.entry.Sequence++
+	return Error.Wrap(v.fleet.store.PublishTarget(v.entry))
+}
+
 func (v *vm) removeEntry() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
