Split the directory and the roster by what the files hold

Policy, view and messages, and the changes and deltas of the list, have files of their own. Tests of both pass.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -9,16 +9,13 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/zeebo/errs"
 
 	"coltsfootusher.example/coltsfootd/peers"
 	"coltsfootusher.example/core/clock"
-	"coltsfootusher.example/core/fleet"
 	"coltsfootusher.example/core/freshness"
 	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
-	"coltsfootusher.example/core/quota"
 	"coltsfootusher.example/core/roster"
 	"coltsfootusher.example/core/vm"
 )
@@ -77,19 +74,6 @@
 	Serves(ctx context.Context, id string) bool
 }
 
-// View holds the published values as request handling uses them.
-type View struct {
-	*fleet.Snapshot
-	Nodes
-	PolicyVersion int64
-	KeysRequired  bool
-	// AccountsIncomplete is true if an unknown key may belong to an account whose row could not be read.
-	AccountsIncomplete bool
-	Bounds             published.CallerLimits
-	// Ranking chooses the owner of each account's token bucket among all listed nodes.
-	Ranking *quota.Ranking
-}
-
 // Directory holds the published values. The goroutine in Run owns all fields except the atomic ones.
 type Directory struct {
 	Config
@@ -263,16 +247,6 @@
 	return now - d.discoveredAt
 }
 
-// reportUnreadablePolicy logs once that the newest policy can't be read. The policy in force is used only until its lease ends,
-// because the new one may revoke keys.
-func (d *Directory) reportUnreadablePolicy(err error) {
-	if d.unreadable.Swap(true) {
-		return
-	}
-	_ = level.Error(d.Logger).Log("msg", "published policy can't be read, the previous one stays in force until its lease ends",
-		"err", err, "confirmationAgeMs", int64(d.Age()))
-}
-
 // Publish exports the state of the policy and of the list of targets, and the numbers of platform calls, as metrics.
 func (d *Directory) Publish(metrics *expvar.Map) {
 	metrics.Set("policyRowsUnusable", expvar.Func(func() any { return d.unusableRows.Load() }))
@@ -280,124 +254,3 @@
 	metrics.Set("platformCalls", expvar.Func(d.calls.counts))
 	metrics.Set("targets", expvar.Func(func() any { return d.countTargets() }))
 }
-
-// countTargets returns the number of listed targets by their state.
-func (d *Directory) countTargets() map[vm.State]int {
-	counts := map[vm.State]int{vm.Live: 0, vm.Leaving: 0}
-	if v := d.view.Load(); v != nil {
-		for _, listed := range v.VMs.VMs {
-			counts[listed.State]++
-		}
-	}
-	return counts
-}
-
-// applyPolicy puts the policy into force if it is newer than the current one, and reports whether it is.
-func (d *Directory) applyPolicy(p published.Policy, source string) bool {
-	if d.policy != nil && p.Version <= d.policy.Version {
-		return false
-	}
-	previous := int64(0)
-	if d.policy != nil {
-		previous = d.policy.Version
-	}
-	d.policy = &p
-	d.unreadable.Store(false)
-	d.unusableRows.Store(int64(len(p.Problems)))
-	_ = level.Info(d.Logger).Log("msg", "policy in force", "version", p.Version, "before", previous, "source", source,
-		"routes", len(p.Routes), "accounts", len(p.Accounts), "problems", len(p.Problems))
-	for _, problem := range p.Problems {
-		_ = level.Error(d.Logger).Log("msg", "published row can't be used", "version", p.Version, "section", problem.Section,
-			"row", problem.Row, "err", problem.Err)
-	}
-	if source != platformSource {
-		// Send a sync request at once, in case this node waits for a confirmation: the node that has the policy can confirm it.
-		d.syncAttempts, d.syncAfter = 0, 0
-	}
-	d.updateView()
-	d.propagate(source, syncMessage{Policy: &p})
-	return true
-}
-
-// policyVersion returns the version of the policy in force, or 0 if there is none.
-func (d *Directory) policyVersion() int64 {
-	if d.policy == nil {
-		return 0
-	}
-	return d.policy.Version
-}
-
-// confirm extends the lease if the version is the one in force.
-func (d *Directory) confirm(version int64, at clock.Millis, source string) {
-	if version != d.policyVersion() {
-		_ = level.Warn(d.Logger).Log("msg", "confirmation of another policy version ignored", "version", version, "source", source)
-		return
-	}
-	if d.lease.Confirm(version, at) {
-		d.confirmedAt.Store(int64(at))
-	}
-}
-
-func (d *Directory) applyTargets(delta roster.Delta, entryErrs []error, source string, now clock.Millis) {
-	for _, entryErr := range entryErrs {
-		_ = level.Debug(d.Logger).Log("msg", "published entry ignored", "err", entryErr)
-	}
-	if !d.noteEpoch(delta.Epoch, source, now) && source == platformSource {
-		return // A late answer. Other nodes may still send what they learned in an earlier epoch.
-	}
-	base := d.roster.Position()
-	changes := d.roster.Apply(delta, now)
-	d.targetsKnown = d.targetsKnown || delta.Full
-	for _, c := range changes {
-		d.logTargetChange(c, source)
-	}
-	if len(changes) == 0 && d.view.Load() != nil {
-		return
-	}
-	d.updateView()
-	if len(changes) > 0 {
-		toForward := d.roster.DeltaToForward(base, delta)
-		toForward.LapseGraceMs = d.roster.LapseGrace(now)
-		d.propagate(source, syncMessage{Roster: &toForward})
-	}
-}
-
-func (d *Directory) logTargetChange(c roster.Change, source string) {
-	if c.VM == nil {
-		_ = level.Info(d.Logger).Log("msg", "target is gone from the list", "target", c.Name, "epoch", c.Epoch, "revision", c.Revision,
-			"source", source)
-		return
-	}
-	_ = level.Info(d.Logger).Log("msg", "target listed", "target", c.Name, "state", c.VM.State, "service", c.VM.Service,
-		"peer", c.VM.PeerAddress, "started", c.VM.StartedMs, "report", c.VM.Sequence, "epoch", c.Epoch, "revision", c.Revision,
-		"source", source)
-}
-
-// snapshot combines the policy in force with the list of targets. It reuses the current snapshot while the policy is unchanged,
-// because the list changes far more often.
-func (d *Directory) snapshot(vms []vm.VM) *fleet.Snapshot {
-	if v := d.view.Load(); v != nil && v.PolicyVersion == d.policy.Version {
-		return v.WithVMs(vms)
-	}
-	return fleet.NewSnapshot(d.policy.Version, d.policy.Routes, d.policy.Accounts, d.policy.Services, vms)
-}
-
-// updateView makes the values in force visible to request handling.
-func (d *Directory) updateView() {
-	if d.policy == nil || !d.targetsKnown {
-		return
-	}
-	vms := d.roster.VMs()
-	v := &View{
-		Snapshot: d.snapshot(vms), Nodes: newNodes(vms, d.FailureDomain),
-		PolicyVersion: d.policy.Version, KeysRequired: d.policy.KeysRequired, Bounds: d.policy.Bounds,
-		AccountsIncomplete: d.policy.AccountsIncomplete,
-	}
-	v.Ranking = quota.NewRanking(v.All)
-	listed := make(map[string]string, len(v.All))
-	for _, other := range vms {
-		listed[other.PeerAddress] = other.FailureDomain
-	}
-	d.Peers.SetListed(listed)
-	d.view.Store(v)
-}
