End the leaving of an unlisted target with its lifetime

Found by reading the change. A target may leave after its entry has gone from the list; its start time was then unknown, so that its statement held for the next lifetime under the same id, too, and the restarted target was never used. Evidence: TestLeavingOfAnUnlistedTargetEndsWithItsLifetime failed before. Change: the node beside the target remembers the latest start time known, and a sender takes the one of the target that it chose.

--- a/core/targetstatus/book.go
+++ b/core/targetstatus/book.go
@@ -26,6 +26,9 @@
 func (b *Book) Record(l Lifetime, s Status, now clock.Millis) bool {
 	previous := b.Get(l)
 	s = s.in(l)
+	if s.Leaving && s.StartedMs == 0 {
+		s.StartedMs = l.StartedMs
+	}
 	if previous.Leaving && !s.Leaving {
 		s.Leaving, s.StartedMs = true, previous.StartedMs
 	}
--- a/core/targetstatus/targetstatus_test.go
+++ b/core/targetstatus/targetstatus_test.go
@@ -88,6 +88,22 @@
 	assert.Equal(t, b.Get(second), Status{}, "a reply about the former lifetime")
 }
 
+// Guards against a restarted target that is never used, because it said that it leaves after its entry had gone from the list, so
+// that the lifetime of the statement was not known.
+func TestLeavingOfAnUnlistedTargetEndsWithItsLifetime(t *testing.T) {
+	listed, unlisted := Lifetime{Target: "t1", StartedMs: 1000}, Lifetime{Target: "t1"}
+	restarted := Lifetime{Target: "t1", StartedMs: 2000}
+	var tracker Tracker
+	tracker.Observe(listed, Report{})
+	tracker.Observe(unlisted, Report{Status: Status{Leaving: true}})
+	assert.Assert(t, tracker.Status(listed).Leaving && tracker.Status(unlisted).Leaving)
+	assert.Equal(t, tracker.Status(restarted), Status{})
+	b := NewBook()
+	b.Record(listed, Status{Leaving: true}, 0)
+	assert.Assert(t, b.Get(listed).Leaving)
+	assert.Equal(t, b.Get(restarted), Status{})
+}
+
 // Guards against a node that goes on using a leaving target because it has an older answer of the target itself.
 func TestLeavingIsAdoptedBesideAnAnswerOfTheTarget(t *testing.T) {
 	var tracker Tracker
--- a/core/targetstatus/tracker.go
+++ b/core/targetstatus/tracker.go
@@ -5,13 +5,20 @@
 type Tracker struct {
 	target string
 	status Status
+	// startedMs is the latest start time known of the target. The list may lack a target that still answers.
+	startedMs int64
 }
 
 // Observe applies the report of an answer of the target. It returns the status and whether another one was in force before, of
 // this target or of the one that answered last.
 func (t *Tracker) Observe(l Lifetime, r Report) (s Status, changed bool) {
-	before := t.status
-	t.target, t.status = l.Target, r.appliedTo(t.Status(l), l)
+	before, known := t.status, t.Status(l)
+	if t.target != l.Target {
+		t.startedMs = 0
+	}
+	t.startedMs = max(t.startedMs, l.StartedMs)
+	l.StartedMs = t.startedMs
+	t.target, t.status = l.Target, r.appliedTo(known, l)
 	return t.status, t.status != before
 }
 
@@ -22,11 +29,11 @@
 	learned = learned.in(l)
 	switch known := t.Status(l); {
 	case t.target == "" && learned != Status{}:
-		t.target, t.status = l.Target, learned
+		t.target, t.status, t.startedMs = l.Target, learned, learned.StartedMs
 		return true
 	case t.target == l.Target && learned.Leaving && !known.Leaving:
 		known.Leaving, known.StartedMs = true, learned.StartedMs
-		t.status = known
+		t.status, t.startedMs = known, max(t.startedMs, learned.StartedMs)
 		return true
 	default:
 		return false
