--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -138,15 +138,15 @@
 		d.confirm(p.Version, sentAt, platformSource)
 		if p.Version < d.policyVersion() {
 			// A restored platform lacks the policy in force until the operators write it again.
-			d.readPolicyAfter = now + d.missingPolicyRetry()
+			d.readPolicyAfter = now + d.maxRetryDelay()
 		}
 	}
 }
 
-// missingPolicyRetry returns the delay after a read that doesn't show the policy in force.
-func (d *Directory) missingPolicyRetry() clock.Millis {
+// maxRetryDelay returns the longest delay before a platform call that brought nothing new is made again.
+func (d *Directory) maxRetryDelay() clock.Millis {
 	if d.rank(d.nodes()) < topRanks {
-		return noPolicyRetryMs
+		return topRankRetryMaxMs
 	}
 	return lowRankRetryMaxMs
 }
@@ -175,11 +175,7 @@
 // recordPlatformFailure counts a failed platform call and returns the delay before the next one.
 func (d *Directory) recordPlatformFailure(call string, err error) clock.Millis {
 	d.markPlatformUnreachable(call, err)
-	maxDelay := lowRankRetryMaxMs
-	if d.rank(d.nodes()) < topRanks {
-		maxDelay = topRankRetryMaxMs
-	}
-	delay := min(maxDelay, readRetryMs<<min(d.platformFailures, maxRetryDoublings))
+	delay := min(d.maxRetryDelay(), readRetryMs<<min(d.platformFailures, maxRetryDoublings))
 	d.platformFailures++
 	return delay
 }
--- a/coltsfootd/directory/restore_test.go
+++ b/coltsfootd/directory/restore_test.go
@@ -140,15 +140,19 @@
 
 func (healthyTarget) Serves(context.Context, string) bool { return true }
 
-// startReader runs the directory of a node that reads the platform, on a real clock.
-func startReader(t *testing.T, platform directory.Platform) *directory.Directory {
-	t.Helper()
-	c := clock.NewMonotonic()
-	d := directory.New(directory.Config{
-		Address: ownAddress, FailureDomain: "d", Incarnation: 1, LeaseMs: 3000, Clock: c, Platform: platform,
+// newDirectory returns the directory of a node beside a healthy target.
+func newDirectory(c clock.Clock, address string, incarnation uint64, platform directory.Platform) *directory.Directory {
+	return directory.New(directory.Config{
+		Address: address, FailureDomain: "d", Incarnation: incarnation, LeaseMs: 3000, Clock: c, Platform: platform,
 		Peers: peers.New("127.0.0.1", c, socket.NewBudget(1000), log.NewNopLogger()), Logger: log.NewNopLogger(),
 		TargetAddress: targetAddress, Target: healthyTarget{},
 	})
+}
+
+// startReader runs the directory of a node that reads the platform, on a real clock.
+func startReader(t *testing.T, platform directory.Platform) *directory.Directory {
+	t.Helper()
+	d := newDirectory(clock.NewMonotonic(), ownAddress, 1, platform)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go d.Run(ctx)
--- a/coltsfootd/directory/start_test.go
+++ b/coltsfootd/directory/start_test.go
@@ -12,13 +12,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"coltsfootusher.example/coltsfootd/directory"
-	"coltsfootusher.example/coltsfootd/peers"
-	"coltsfootusher.example/coltsfootd/socket"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/roster"
 	"coltsfootusher.example/core/vm"
@@ -51,12 +48,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
-	n := &runningNode{address: address}
-	n.Directory = directory.New(directory.Config{
-		Address: n.address, FailureDomain: "d", Incarnation: incarnation, LeaseMs: 3000, Clock: c, Platform: platform,
-		Peers: peers.New("127.0.0.1", c, socket.NewBudget(1000), log.NewNopLogger()), Logger: log.NewNopLogger(),
-		TargetAddress: targetAddress, Target: healthyTarget{},
-	})
+	n := &runningNode{Directory: newDirectory(c, address, incarnation, platform), address: address}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+directory.SyncPath, n.ServeSync)
 	s := &http.Server{Handler: mux}
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -96,14 +96,19 @@
 	r.status.publish(metrics, func() targetstatus.Lifetime { return r.lifetime(target()) })
 }
 
+// listed returns the target's entry in the target list, or an empty one if the list does not contain it.
+func (r *Runner) listed(target string) vm.VM {
+	v := r.Views.View()
+	if v == nil {
+		return vm.VM{}
+	}
+	own, _ := v.VM(target)
+	return own
+}
+
 // lifetime returns the lifetime of the target that the target list shows.
 func (r *Runner) lifetime(target string) targetstatus.Lifetime {
-	l := targetstatus.Lifetime{Target: target}
-	if v := r.Views.View(); v != nil {
-		listed, _ := v.VM(target)
-		l.StartedMs = listed.StartedMs
-	}
-	return l
+	return targetstatus.Lifetime{Target: target, StartedMs: r.listed(target).StartedMs}
 }
 
 // RecordInnerRefusal records that an inner call of the local target was refused because the called service is overloaded.
@@ -179,15 +184,9 @@
 
 // leaves reports whether the target leaves, as the target list shows or as the target itself has stated.
 func (r *Runner) leaves(target string) bool {
-	if r.status.status(r.lifetime(target)).Leaving {
-		return true
-	}
-	v := r.Views.View()
-	if v == nil {
-		return false
-	}
-	own, _ := v.VM(target)
-	return own.State == vm.Leaving
+	own := r.listed(target)
+	l := targetstatus.Lifetime{Target: target, StartedMs: own.StartedMs}
+	return own.State == vm.Leaving || r.status.status(l).Leaving
 }
 
 func (r *Runner) admit(ctx context.Context, c dispatch.Context, now, deadline clock.Millis) gate.Decision {
