--- a/review/standin/quota.go
+++ b/review/standin/quota.go
@@ -6,23 +6,27 @@
 	"io"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 const (
 	quotaRate    = 20
-	quotaBurst   = 100
+	quotaBurst   = 150
 	quotaWindow  = 5 * time.Second
 	quotaOver    = 0.25
 	quotaSlack   = 20
-	quotaTenants = 40
-	// hotFactor is how many times its rate each tenant sends: 7.5 times its usual, of which its rate is 1.6 times.
-	hotFactor = 4
+	quotaTenants = 20
+	// A tenant usually sends usualPerSecond requests a second, which is its rate divided by 1.6, and then 7.2 times as many.
+	usualPerSecond = 12.5
+	hotPerSecond   = 90
+	hotTime        = 9 * time.Second
 )
 
-// playQuota plays a release: of each service two of three backends are replaced, one after the other, together with their machines.
+// playQuota plays a scale-in while tenants send many times their usual: of each service one of three backends is taken away.
 func playQuota(f *fleet, trouble bool) (bool, error) {
 	const work = 3 * time.Millisecond
 	services := []string{"riders", "voids", "signings", "trails"}
@@ -37,7 +41,7 @@
 	}
 	var routes []row
 	for _, service := range services {
-		routes = append(routes, row{"r-" + service, apiHost, "/" + service + "/", "safe", 2, 0.5, 1, nil, 1, false, service})
+		routes = append(routes, row{"r-" + service, apiHost, "/" + service + "/", "unsafe", 2, 0.5, 1, nil, 1, false, service})
 	}
 	f.publish(1, routes, tenants)
 	if err := f.start(); err != nil {
@@ -45,15 +49,18 @@
 	}
 	time.Sleep(6 * time.Second)
 	stop := make(chan struct{})
+	var hot atomic.Bool
 	var group sync.WaitGroup
 	for i := range quotaTenants {
-		group.Go(func() { f.loadTenant(i, services, stop) })
+		group.Go(func() { f.loadTenant(i, services, &hot, stop) })
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(3 * time.Second)
 	if trouble {
-		group.Go(func() { f.releaseAll(services) })
+		group.Go(func() { f.scaleIn(services) })
 	}
-	time.Sleep(16 * time.Second)
+	f.record.add("tenants send %d a second each, instead of %g", hotPerSecond, usualPerSecond)
+	hot.Store(true)
+	time.Sleep(hotTime)
 	close(stop)
 	group.Wait()
 	broken, worst, worstTenant := f.quotaExcess()
@@ -66,7 +73,7 @@
 func tenantKey(i int) string { return fmt.Sprintf("keyoftenant%09d", i) }
 
 // loadTenant sends the requests of one tenant from the machines in turn.
-func (f *fleet) loadTenant(i int, services []string, stop chan struct{}) {
+func (f *fleet) loadTenant(i int, services []string, hot *atomic.Bool, stop chan struct{}) {
 	clients := map[*machine]*http.Client{}
 	var group sync.WaitGroup
 	next := time.Now().Add(time.Duration(i) * time.Millisecond)
@@ -77,7 +84,11 @@
 			return
 		case <-time.After(time.Until(next)):
 		}
-		next = next.Add(time.Second / (quotaRate * hotFactor))
+		perSecond := usualPerSecond
+		if hot.Load() {
+			perSecond = hotPerSecond
+		}
+		next = next.Add(time.Duration(float64(time.Second) / perSecond))
 		machines := f.listed()
 		m := machines[(n+i)%len(machines)]
 		if m.out.Load() {
@@ -95,7 +106,7 @@
 }
 
 func get(client *http.Client, url, id, key string) {
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader("body"))
 	if err != nil {
 		return
 	}
@@ -111,53 +122,30 @@
 	_ = response.Body.Close()
 }
 
-// releaseAll replaces two of the three backends of each service at once, one after the other.
-func (f *fleet) releaseAll(services []string) {
+// scaleIn takes one backend of each service away, together with its machine.
+func (f *fleet) scaleIn(services []string) {
 	var group sync.WaitGroup
 	for s := range services {
-		group.Go(func() {
-			var inner sync.WaitGroup
-			for k := range 2 {
-				old := f.machines[3*s+k]
-				inner.Go(func() { f.replace(old) })
-				time.Sleep(740 * time.Millisecond)
-			}
-			inner.Wait()
-		})
-		time.Sleep(50 * time.Millisecond)
+		group.Go(func() { f.machines[3*s].takeAway() })
+		time.Sleep(300 * time.Millisecond)
 	}
 	group.Wait()
 }
 
-// replace starts a new machine, then drains the old backend, ends it and stops the node beside it.
-func (f *fleet) replace(old *machine) {
-	f.mu.Lock()
-	m := f.add(old.backend.service, old.zone, old.backend.capacity, old.backend.work)
-	f.mu.Unlock()
-	if err := m.startNode(); err != nil {
-		f.record.add("start failed machine=%s err=%v", m.name, err)
-		return
-	}
-	time.Sleep(time.Second)
-	if err := m.backend.start(); err != nil {
-		f.record.add("start failed backend=%s err=%v", m.backend.id, err)
-		return
-	}
-	f.record.add("added machine=%s backend=%s service=%s", m.name, m.backend.id, m.backend.service)
-	m.added.Store(true)
-	go m.poll()
-	old.backend.drain()
-	f.record.add("draining backend=%s", old.backend.id)
+// takeAway drains the backend, ends it and stops the node beside it.
+func (m *machine) takeAway() {
+	m.backend.drain()
+	m.fleet.record.add("draining backend=%s machine=%s", m.backend.id, m.name)
 	time.Sleep(drainBound + 300*time.Millisecond)
-	old.gone.Store(true)
-	old.backend.unlist()
-	_ = old.backend.server.Close()
-	f.record.add("backend gone, SIGTERM machine=%s backend=%s", old.name, old.backend.id)
-	old.signal(syscall.SIGTERM)
+	m.gone.Store(true)
+	m.backend.unlist()
+	_ = m.backend.server.Close()
+	m.fleet.record.add("backend gone, SIGTERM backend=%s machine=%s", m.backend.id, m.name)
+	m.signal(syscall.SIGTERM)
 	select {
-	case <-old.exited:
+	case <-m.exited:
 	case <-time.After(grace):
-		old.signal(syscall.SIGKILL)
+		m.signal(syscall.SIGKILL)
 	}
 }
 
