--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -64,14 +64,16 @@
 	store    *store
 	mu       sync.Mutex
 	machines []*machine
-	work     string
-	program  string
-	ports    struct{ store, entry, peer, ready, operator, app int }
-	block    string
+	// sentAt holds the times at which requests were sent, by id, for cases that send on kept connections.
+	sentAt  map[string]time.Time
+	work    string
+	program string
+	ports   struct{ store, entry, peer, ready, operator, app int }
+	block   string
 }
 
 func newFleet(r *record, work, program string) *fleet {
-	f := &fleet{record: r, work: work, program: program}
+	f := &fleet{record: r, work: work, program: program, sentAt: make(map[string]time.Time)}
 	f.block = fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250))
 	base := 21000 + rand.IntN(8000)
 	f.ports.store, f.ports.entry, f.ports.peer = base, base+1, base+2
