--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"lost":     playLost,
 	"quota":    playQuota,
 	"takeover": playTakeover,
+	"config":   playConfig,
 }
 
 func main() {
