Refuse requests that still wait when their node stops

Requests of other nodes that waited at the gate of a stopping node ended with 502. Cause: only the stopping process knew its deadline. Requests waited at gates, here and at other nodes, for as long as their callers' deadlines allowed, which outlasted the process. Change: the announcement of a stop carries the time for which the node still passes on answers. The gates refuse the requests of that node that can no longer end by then, and the reply of the gate is the confirmation that the request has not run. Attempts that begin after the SIGTERM carry the shorter deadline, and an operation isn't sent when the time left is shorter than its objective.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -65,7 +65,9 @@
 	Peers    *peers.Table
 	// Target checks whether the local target serves requests.
 	Target TargetChecker
-	Logger log.Logger
+	// OnLeave is called when a peer announces that it stops, with the time for which it still passes on responses.
+	OnLeave func(incarnation uint64, answersForMs clock.Millis)
+	Logger  log.Logger
 }
 
 // TargetChecker checks the local target while its entry is missing from the list.
--- a/coltsfootd/directory/directory_test.go
+++ b/coltsfootd/directory/directory_test.go
@@ -255,7 +255,7 @@
 	platform := &countingPlatform{list: []roster.Change{listedTarget("t2", otherAddress)}}
 	d, reads := startDirectory(t, platform)
 	for range 100 {
-		d.AnnounceLeaving()
+		d.AnnounceLeaving(0)
 	}
 	waitForTicks(t, reads)
 }
--- a/coltsfootd/directory/message.go
+++ b/coltsfootd/directory/message.go
@@ -70,4 +70,14 @@
 type LeaveMessage struct {
 	From        string `json:"from"`
 	Incarnation uint64 `json:"incarnation,string"`
+	// AnswersForMs is the time for which the node still passes on responses to its callers, or 0 if it doesn't say.
+	AnswersForMs clock.Millis `json:"answersForMs,omitempty"`
+}
+
+// Validate returns an error if a field has a value that no node sends.
+func (m LeaveMessage) Validate() error {
+	if m.From == "" || m.Incarnation == 0 || m.AnswersForMs < 0 {
+		return Error.New("leave message lacks a sender or has a negative time")
+	}
+	return nil
 }
--- a/coltsfootd/directory/message_test.go
+++ b/coltsfootd/directory/message_test.go
@@ -24,6 +24,14 @@
 	assert.Equal(t, int64(m.AgeMs), int64(5))
 }
 
+// Guards against a malformed announcement that marks another node as leaving, or ends its waiting requests at once.
+func TestMalformedLeaveMessagesAreRejected(t *testing.T) {
+	assert.NilError(t, LeaveMessage{From: "a", Incarnation: 7, AnswersForMs: 100}.Validate())
+	for _, m := range []LeaveMessage{{Incarnation: 7}, {From: "a"}, {From: "a", Incarnation: 7, AnswersForMs: -1}} {
+		assert.Assert(t, m.Validate() != nil, "%+v", m)
+	}
+}
+
 // Guards against messages from another node that crash the process or that change when they are encoded again.
 func FuzzDecodeMessage(f *testing.F) {
 	f.Add(`{"from":"1.2.3.4:5","incarnation":"7","policyVersion":3,"revision":9,"ageMs":20}`)
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -25,6 +25,8 @@
 	// startupSyncRetryMs is the delay between the sync requests of a node that has just started.
 	startupSyncRetryMs clock.Millis = 80
 	pushTimeout                     = 400 * time.Millisecond
+	// announcedPerOtherDomain is the number of nodes of each other failure domain to which an announcement is sent.
+	announcedPerOtherDomain = 2
 )
 
 // ownState returns a message with the versions of this node's values, but without the values.
@@ -174,9 +176,8 @@
 
 // announce sends a message to the announcement peers, if the list of nodes is known.
 func (d *Directory) announce(path string, message any) {
-	const perOtherDomain = 2
 	if v := d.view.Load(); v != nil {
-		d.broadcast(v.announcementPeers(perOtherDomain, d.Peers.Usable), path, message)
+		d.broadcast(v.announcementPeers(announcedPerOtherDomain, d.Peers.Usable), path, message)
 	}
 }
 
@@ -185,9 +186,16 @@
 	d.enqueue(func(now clock.Millis) { d.announce(SyncPath, d.ownState(now)) })
 }
 
-// AnnounceLeaving tells the announcement peers that this node accepts no new work.
-func (d *Directory) AnnounceLeaving() {
-	d.announce(LeavePath, LeaveMessage{From: d.Address, Incarnation: d.Incarnation})
+// AnnounceLeaving tells the announcement peers, and those with calls of this node, that this node accepts no new work, and for how
+// long it still passes on responses.
+func (d *Directory) AnnounceLeaving(answersForMs clock.Millis) {
+	m := LeaveMessage{From: d.Address, Incarnation: d.Incarnation, AnswersForMs: answersForMs}
+	addresses := d.Peers.WithCalls()
+	if v := d.view.Load(); v != nil {
+		addresses = append(addresses, v.announcementPeers(announcedPerOtherDomain, d.Peers.Usable)...)
+	}
+	slices.Sort(addresses)
+	d.broadcast(slices.Compact(addresses), LeavePath, m)
 }
 
 // broadcast sends a message to those of the nodes that can be reached, and once more to those for which that fails.
@@ -267,6 +275,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if err := m.Validate(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	d.Peers.MarkLeaving(m.From, m.Incarnation)
+	if d.OnLeave != nil && m.AnswersForMs > 0 {
+		d.OnLeave(m.Incarnation, m.AnswersForMs)
+	}
 	w.WriteHeader(http.StatusOK)
 }
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -80,6 +81,7 @@
 // SenderConfig holds the dependencies of a Sender.
 type SenderConfig struct {
 	Address       string
+	Incarnation   uint64
 	FailureDomain string
 	Clock         clock.Clock
 	Values        Values
@@ -97,6 +99,8 @@
 	SenderConfig
 	randomMu sync.Mutex
 	statuses *targetStatuses
+	// stopBy is the time after which this node passes on no responses, because it stops; 0 while it doesn't.
+	stopBy atomic.Int64
 }
 
 // NewSender returns a sender with the given dependencies.
@@ -104,6 +108,30 @@
 	return &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger)}
 }
 
+// StopBy makes all attempts from now on end before the time after which this node passes on no responses.
+func (s *Sender) StopBy(deadline clock.Millis) {
+	s.stopBy.Store(int64(deadline))
+}
+
+// mayFinish reports whether a request can be sent now, or only so late that its response can't be passed on. An operation must be
+// able to end within its objective, or its outcome would be unknown.
+func (s *Sender) mayFinish(class route.Class, objective clock.Millis) bool {
+	stopBy := clock.Millis(s.stopBy.Load())
+	if stopBy == 0 {
+		return true
+	}
+	left := stopBy - s.Clock.Now()
+	return left > 0 && (class == route.Lookup || left >= objective)
+}
+
+// deadline returns the time by which the response to the job must have arrived.
+func (s *Sender) deadline(j Job) clock.Millis {
+	if stopBy := clock.Millis(s.stopBy.Load()); stopBy > 0 {
+		return min(j.Deadline, stopBy)
+	}
+	return j.Deadline
+}
+
 // Send sends the job until a target has answered it, it must not be retried, or no target is left.
 func (s *Sender) Send(ctx context.Context, j Job) Result {
 	s.RetryBudget.OnRequest(j.Service, j.Repeated, s.Clock.Now())
@@ -115,6 +143,12 @@
 	mayHaveRun := false
 	waitUntil := s.Clock.Now() + maxTargetWait(j, s.Clock.Now())
 	for {
+		if !s.mayFinish(j.Class, j.ObjectiveMs) {
+			if last.Reply.Run == call.NotRun {
+				last.Reply = refuseLeaving()
+			}
+			return s.finalResult(last, mayHaveRun)
+		}
 		v, choice, ok := s.chooseTarget(j.Service, excluded)
 		if !ok && !mayHaveRun && s.waitForTarget(ctx, j, waitUntil) {
 			clear(excluded)
@@ -132,7 +166,7 @@
 			return last
 		}
 		now := s.Clock.Now()
-		if ctx.Err() != nil || now >= j.Deadline {
+		if ctx.Err() != nil || now >= s.deadline(j) {
 			return s.finalResult(last, mayHaveRun || reply.Run != call.NotRun)
 		}
 		if reply.Reason == call.ReasonPoisonRequest {
@@ -158,6 +192,10 @@
 	}
 }
 
+func refuseLeaving() dispatch.Reply {
+	return dispatch.Reply{Reason: call.ReasonLeaving, Run: call.NotRun, RetryAfterMs: leavingRetryAfterMs}
+}
+
 // finalResult corrects the result of a failed request if an earlier attempt may have run it.
 func (s *Sender) finalResult(r Result, mayHaveRun bool) Result {
 	if mayHaveRun && r.Reply.Run == call.NotRun {
@@ -230,7 +268,7 @@
 func (s *Sender) attempt(ctx context.Context, v vm.VM, j Job, choice balance.Choice) (dispatch.Reply, *upstream.Response) {
 	now := s.Clock.Now()
 	j.Target, j.TargetStatus = v.Name, s.statuses.get(lifetime(v))
-	j.TimeoutMs = j.Deadline - now
+	j.Sender, j.TimeoutMs = s.Incarnation, s.deadline(j)-now
 	s.Balancer.Started(v.Name, now)
 	start := time.Now()
 	reply, response := s.deliver(ctx, v, j)
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -67,9 +67,10 @@
 // Runner runs requests at the local target.
 type Runner struct {
 	Config
-	absentTargets absentTargets
-	retries       retryGauge
-	status        *statusMonitor
+	absentTargets   absentTargets
+	senderDeadlines senderDeadlines
+	retries         retryGauge
+	status          *statusMonitor
 	// lastInnerRefusal is the time of the latest refusal of an inner call of the target.
 	lastInnerRefusal atomic.Int64
 }
@@ -152,8 +153,8 @@
 	if r.absentTargets.contains(c.Target, received) {
 		return refuse(call.ReasonNoTarget), nil
 	}
-	deadline := received + c.TimeoutMs
-	waiting, cancel := context.WithTimeout(ctx, c.TimeoutMs.Duration())
+	deadline := r.senderDeadlines.limit(c.Sender, received+c.TimeoutMs)
+	waiting, cancel := context.WithTimeout(ctx, (deadline - received).Duration())
 	defer cancel()
 	d := r.admit(waiting, c, received, deadline)
 	if !d.Admitted {
@@ -166,6 +167,8 @@
 	}
 	start := time.Now()
 	admitted := r.Clock.Now()
+	// The sender may have begun to stop while the request waited.
+	deadline = r.senderDeadlines.limit(c.Sender, deadline)
 	reply, response := r.runAtTarget(ctx, c, request, deadline-r.Clock.Now())
 	reply.TargetMs = float64(time.Since(start).Microseconds()) / 1000
 	reply.InnerRefused = r.innerRefused(response, admitted)
@@ -197,7 +200,7 @@
 		class, depth = route.NonIdempotent, 1
 	}
 	d := r.Admission.Admit(ctx, gate.Request{
-		Account: c.Account, Class: class, Depth: depth, Arrival: now, Deadline: deadline,
+		Account: c.Account, Class: class, Depth: depth, Arrival: now, Deadline: deadline, Sender: c.Sender,
 	})
 	if d.Reason == call.ReasonCallerGone && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		d.Reason = call.ReasonDeadlineExceeded
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -133,6 +133,9 @@
 		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: n.health, FailureDomain: s.FailureDomain,
 		Incarnation: n.incarnation,
 		LeaseMs:     s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Platform: source, Peers: n.peers,
+		OnLeave: func(incarnation uint64, answersForMs clock.Millis) {
+			n.runner.LimitSender(incarnation, n.clock.Now()+answersForMs)
+		},
 		Logger: logging.WithPart(n.logger, "directory"),
 	})
 	n.directory.Publish(metrics)
@@ -173,8 +176,8 @@
 		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, InnerCalls: n.runner, Latency: n.latency,
 		Bodies: n.bodies,
 		Sender: forward.NewSender(forward.SenderConfig{
-			Address: s.PeerAddress, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory, Peers: n.peers,
-			LocalRunner: n.runner,
+			Address: s.PeerAddress, Incarnation: n.incarnation, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory,
+			Peers: n.peers, LocalRunner: n.runner,
 			Balancer:    passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain)),
 			RetryBudget: n.retryBudget,
 			Recorder:    n.recorder, Random: rand.New(rand.NewPCG(n.incarnation, 3)),
--- a/coltsfootd/mesh/mesh_test.go
+++ b/coltsfootd/mesh/mesh_test.go
@@ -193,6 +193,10 @@
 			{Prefix: "/voidlist/", Service: "voids", Class: route.Lookup, TimeoutMs: 30_000, ObjectiveMs: 1000, MaxTargets: 2},
 			{Prefix: "/short/", Service: "voids", Class: route.Lookup, TimeoutMs: 300, ObjectiveMs: 100, MaxTargets: 1},
 			{Prefix: "/open/", Service: "voids", Class: route.Lookup, TimeoutMs: 30_000, ObjectiveMs: 1000, MaxTargets: 2, Open: true},
+			{
+				Prefix: "/openvoids/", Service: "voids", Class: route.NonIdempotent, TimeoutMs: 30_000, ObjectiveMs: 2000, MaxTargets: 2,
+				Open: true,
+			},
 		},
 	}
 }
--- a/coltsfootd/mesh/stop.go
+++ b/coltsfootd/mesh/stop.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/gate"
 )
 
 const (
@@ -14,20 +17,30 @@
 	// graceMargin is the part of the grace period that is reserved for the exit of the process.
 	graceMargin        = 400 * time.Millisecond
 	activePollInterval = 20 * time.Millisecond
+	// answerMargin is the time before the end of the process by which a response must be there to be passed on.
+	answerMargin = 200 * time.Millisecond
 )
 
 // stop shuts the node down: the node reports that it is not ready and announces to its peers that it is leaving, accepts
-// requests until callers have moved to other nodes, and completes the active requests.
+// requests until callers have moved to other nodes, and completes the active requests. Requests that still wait at a gate, here or
+// at another node, are refused when they can no longer end in time.
 func (n *Node) stop() error {
-	deadline := time.Now().Add(n.settings.GraceSeconds.Duration() - graceMargin)
+	grace := n.settings.GraceSeconds.Duration() - graceMargin
+	deadline := time.Now().Add(grace)
+	answerBy := n.clock.Now() + clock.FromDuration(grace-answerMargin)
 	n.leaving.Store(true)
 	_ = level.Info(n.logger).Log("part", "node", "msg", "node is stopping", "running", n.entryServer.Active()+n.peerServer.Active())
-	n.directory.AnnounceLeaving()
 	n.handler.CloseConnections()
+	n.handler.Sender.StopBy(answerBy)
+	n.runner.LimitSender(gate.AnySender, answerBy)
+	n.directory.AnnounceLeaving(answerBy - n.clock.Now())
 	time.Sleep(stopDelay)
+	// A node that missed the first announcement must know before the requests of this one wait in vain.
+	n.directory.AnnounceLeaving(answerBy - n.clock.Now())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	n.handler.RefuseCallers()
+	waiting := n.admission.Load().Waiting
 	errPeer := n.peerServer.Shutdown(ctx)
 	// The local target makes inner calls at the entry address until the requests that it runs have ended.
 	for n.entryServer.Active() > 0 && ctx.Err() == nil {
@@ -37,6 +50,7 @@
 	for _, s := range n.plainServers {
 		_ = s.Close()
 	}
-	_ = level.Info(n.logger).Log("part", "node", "msg", "node stopped", "entryErr", errEntry, "peerErr", errPeer)
+	_ = level.Info(n.logger).Log("part", "node", "msg", "node stopped", "waitingWhenClosed", waiting,
+		"cutAtEntry", n.entryServer.Active(), "cutAtPeerAddress", n.peerServer.Active(), "entryErr", errEntry, "peerErr", errPeer)
 	return nil
 }
--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -209,6 +209,17 @@
 	return peers
 }
 
+// WithCalls returns the addresses of the peers to which this node has calls in progress.
+func (t *Table) WithCalls() []string {
+	var addresses []string
+	for _, p := range t.allPeers() {
+		if !p.hasNoCalls() {
+			addresses = append(addresses, p.pool.Address())
+		}
+	}
+	return addresses
+}
+
 // Publish exports the number of unreachable peers as a metric.
 func (t *Table) Publish(metrics *expvar.Map) {
 	metrics.Set("peersLost", expvar.Func(func() any { return t.UnreachableCount() }))
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -23,6 +23,8 @@
 // Context describes a request that the node which accepted it sends to the node beside the target.
 type Context struct {
 	RequestID string `json:"id"`
+	// Sender is the incarnation of the node that accepted the request.
+	Sender uint64 `json:"sender,string,omitempty"`
 	// Target is the id of the target that the sender has chosen; no other target may run the request.
 	Target  string `json:"target"`
 	Service string `json:"service"`
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -20,6 +20,9 @@
 	maxRetryAfterMs = 10_000
 )
 
+// AnySender stands for all senders of calls.
+const AnySender uint64 = 0
+
 // Request is a call that asks for admission to the target. IDs must be unique among the running and waiting calls.
 type Request struct {
 	ID      uint64
@@ -31,6 +34,8 @@
 	Arrival clock.Millis
 	// Deadline is the time after which the caller no longer needs the response.
 	Deadline clock.Millis
+	// Sender identifies the process that has sent the call and passes its response on; 0 if it is not known.
+	Sender uint64
 }
 
 // Decision is the final result for a request: it starts now, or it is refused and was not run.
@@ -225,6 +230,17 @@
 	return g.dispatch(now, decisions)
 }
 
+// LimitDeadlines moves the deadlines of the waiting calls of a sender forward to the time after which it can't pass on their
+// responses, and refuses those that can no longer finish. AnySender stands for all senders.
+func (g *Gate) LimitDeadlines(sender uint64, deadline, now clock.Millis) []Decision {
+	for _, w := range g.queue.waiters {
+		if sender == AnySender || w.request.Sender == sender {
+			w.request.Deadline = min(w.request.Deadline, deadline)
+		}
+	}
+	return g.Tick(now)
+}
+
 // Load returns the current load, which is reported to callers.
 func (g *Gate) Load(now clock.Millis) call.Load {
 	limit := g.config.Slots
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -373,3 +373,21 @@
 	assert.Equal(t, len(decisions), 1)
 	assert.Equal(t, decisions[0], Decision{ID: 11, Admitted: true})
 }
+
+// Guards against waiting calls of a stopping node that start although their responses can't be passed on any more, and against
+// refusing the calls of other nodes with them.
+func TestLimitedDeadlinesRefuseWhatCannotFinish(t *testing.T) {
+	from := func(r Request, sender uint64) Request { r.Sender = sender; return r }
+	g := newGate(Config{Slots: 1, QueueLimit: 10})
+	assert.Assert(t, g.Offer(nonIdempotent(1), 0)[0].Admitted)
+	g.Offer(from(nonIdempotent(2), 7), 0)
+	g.Offer(from(nonIdempotent(3), 8), 0)
+	g.Offer(from(nonIdempotent(4), 8), 0)
+	assert.Equal(t, len(g.LimitDeadlines(7, 500, 100)), 0, "there is still time")
+	assert.Equal(t, g.Done(1, Sample{LatencyMs: 300}, 150)[0].ID, uint64(4), "the newest starts first")
+	refused := g.LimitDeadlines(7, 500, 250)
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].ID, uint64(2))
+	assert.Equal(t, refused[0].Reason, call.ReasonDeadlineTooClose)
+	assert.Equal(t, len(g.LimitDeadlines(AnySender, 260, 270)), 1, "the node itself stops")
+}
