Let another node read the platform before the operators' bounds end

Cause: one fault. The other nodes took over when their confirmation was 1.9 s old, each doubling of the rank 0.25 s later, and a removed entry stays in use for 0.5 s more. The parts were chosen against the lease of keys; nobody had added them up against the bounds. A node that takes over tells the next ranks, which fetch its confirmation and leave the store alone. Late ranks of large fleets ask their peers as often as before. TestChangesAreInForceInTimeWithoutTheFirstReaders adds the terms up from the constants, for 12 to 2,500 nodes with the first 35% of them turned away, and fails with the old schedule.

--- /dev/null
+++ b/coltsfootd/directory/delay_test.go
@@ -0,0 +1,41 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/roster"
+)
+
+// Guards against a changed constant with which a change of the published values is in force too late on the nodes that the platform
+// serves, while it turns away the largest share of the others, and all of those that would read first. Reads without an answer are
+// the worst case: a rejected read ends sooner, but the takeover waits for neither.
+func TestChangesAreInForceInTimeWithoutTheFirstReaders(t *testing.T) {
+	const (
+		// turnedAwayPercent is the largest share of nodes that the platform turns away while it serves the others.
+		turnedAwayPercent = 35
+		// callMs allows for a call to the platform or to a node, hops is the number of nodes that an update passes through.
+		callMs clock.Millis = 50
+		hops                = 2
+	)
+	tickMs := clock.FromDuration(tickInterval)
+	for _, c := range []struct {
+		nodes   int
+		boundMs clock.Millis
+	}{{12, 2000}, {13, 2000}, {67, 2500}, {80, 2500}, {195, 3000}, {2500, 7000}} {
+		t.Run(fmt.Sprint(c.nodes), func(t *testing.T) {
+			turnedAway := (c.nodes*turnedAwayPercent + 99) / 100
+			// The change is acknowledged just after the last answered read was sent.
+			read := confirmationSchedule.ReadAge(turnedAway) + tickMs
+			policy := read + callMs + hops*callMs
+			leaving := policy + callMs
+			removal := leaving + roster.UnlistedGraceMs + tickMs
+			assert.Assert(t, policy <= c.boundMs, "policy after %d ms", policy)
+			assert.Assert(t, leaving <= c.boundMs, "leaving target after %d ms", leaving)
+			assert.Assert(t, removal <= c.boundMs, "removed target after %d ms", removal)
+		})
+	}
+}
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -136,6 +136,10 @@
 		d.recordPlatformSuccess(now)
 		d.applyPolicy(p, platformSource)
 		d.confirm(p.Version, sentAt, platformSource)
+		if d.rank(d.nodes()) > 0 {
+			// The next ranks wait for the first one, which has not delivered, and would read the platform as well.
+			d.announce(SyncPath, d.ownState(now))
+		}
 		if p.Version < d.policyVersion() {
 			// A restored platform lacks the policy in force until the operators write it again.
 			d.readPolicyAfter = now + d.maxRetryDelay()
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -117,7 +117,7 @@
 	}
 	if err == nil && reply.PolicyVersion == d.policyVersion() && reply.AgeMs >= 0 && reply.AgeMs < confirmationSchedule.TakeoverMs {
 		d.syncAttempts = 0
-		d.syncAfter = now + confirmationSchedule.NextAskDelay(reply.AgeMs)
+		d.syncAfter = now + confirmationSchedule.NextAskDelay(d.rank(d.nodes()), reply.AgeMs)
 		return
 	}
 	d.syncAttempts++
@@ -149,9 +149,13 @@
 	}
 }
 
-// askNewerPeer asks the sender of a message next if it has a newer policy than this node.
+// askNewerPeer asks the sender of a message next if it has a newer policy than this node, or a clearly newer confirmation. A
+// pushed confirmation is not used itself, because the time that the message took is not known.
 func (d *Directory) askNewerPeer(m syncMessage, now clock.Millis) {
-	if m.From != "" && m.Policy == nil && m.PolicyVersion > d.policyVersion() {
+	newerPolicy := m.Policy == nil && m.PolicyVersion > d.policyVersion()
+	confirmed := m.AgeMs >= 0 && m.PolicyVersion == d.policyVersion()
+	newerConfirmation := confirmed && d.confirmationAge(now)-m.AgeMs >= confirmationSchedule.ReadEveryMs
+	if m.From != "" && (newerPolicy || newerConfirmation) {
 		d.newerPeer, d.syncAfter = m.From, min(d.syncAfter, now)
 	}
 }
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -47,33 +47,48 @@
 // The nodes that reach each other are ranked. The first rank of the fleet reads the platform, the first node of each
 // failure domain asks that node, and the others ask the first node of their domain. Nodes of further ranks read the
 // platform themselves when the confirmations that they get become too old, so that a failed reader is replaced without an
-// election. First one node does so, then twice as many with each step.
+// election. First one node does so, then twice as many with each step. A reader that the platform turns away without an answer
+// notices nothing for as long as its call lasts, so the replacement doesn't depend on it.
 type Schedule struct {
 	// ReadEveryMs is the age of the confirmation at which the first rank reads the platform.
 	ReadEveryMs clock.Millis
-	// AskEveryMs is the age of the confirmation at which the other ranks ask a peer.
-	AskEveryMs clock.Millis
+	// LateAskEveryMs takes the place of ReadEveryMs in the delay between two requests of a late rank to its peers.
+	LateAskEveryMs clock.Millis
 	// TakeoverMs is the age at which the second rank reads the platform; each doubling of the rank adds RankStepMs.
 	TakeoverMs clock.Millis
 	RankStepMs clock.Millis
+	// LateTakeoverMs is added for late ranks, because their confirmations are older.
+	LateTakeoverMs clock.Millis
 }
 
 const (
-	// maxRankSteps bounds the delay of the last ranks, because each of them must read the platform before its lease expires.
-	maxRankSteps = 8
+	// lateRank is the first of the late ranks, which read the platform only if all before them fail. They ask their peers less
+	// often, so that the load on the peers of a large fleet stays low.
+	lateRank = 32
+	// ranksPerMs limits how many nodes begin to read per millisecond when no rank has succeeded.
+	ranksPerMs = 4
 	// readPropagationMs is the time that a confirmation takes from the platform through the first rank.
 	readPropagationMs clock.Millis = 100
 	// minAskIntervalMs is the shortest interval between two requests to a peer.
 	minAskIntervalMs clock.Millis = 100
 )
 
-// ReadDue reports whether a node of this rank must read the platform now. A negative rank counts as the first one.
+// ReadDue reports whether a node of this rank must read the platform now.
 func (s Schedule) ReadDue(rank int, age clock.Millis) bool {
+	return age >= s.ReadAge(rank)
+}
+
+// ReadAge returns the age of the confirmation at which a node of this rank reads the platform. A negative rank counts as the
+// first one.
+func (s Schedule) ReadAge(rank int) clock.Millis {
 	if rank <= 0 {
-		return age >= s.ReadEveryMs
+		return s.ReadEveryMs
+	}
+	age := s.TakeoverMs + clock.Millis(bits.Len(uint(rank))-1)*s.RankStepMs + clock.Millis(rank/ranksPerMs)
+	if rank >= lateRank {
+		age += s.LateTakeoverMs
 	}
-	steps := min(bits.Len(uint(rank))-1, maxRankSteps)
-	return age >= s.TakeoverMs+clock.Millis(steps)*s.RankStepMs
+	return age
 }
 
 // AskDue reports whether a node of this rank must ask a peer now. The first rank only does so if its own reads fail.
@@ -81,11 +96,18 @@
 	if rank <= 0 {
 		return age >= s.TakeoverMs
 	}
-	return age >= s.AskEveryMs
+	return age >= s.askEveryMs(rank)
+}
+
+func (s Schedule) askEveryMs(rank int) clock.Millis {
+	if rank >= lateRank {
+		return s.LateAskEveryMs
+	}
+	return s.ReadEveryMs
 }
 
-// NextAskDelay returns how long to wait after a request to a peer that returned a confirmation of the given age. The next
-// confirmation is available when the first rank has read the platform again.
-func (s Schedule) NextAskDelay(age clock.Millis) clock.Millis {
-	return max(minAskIntervalMs, s.ReadEveryMs+readPropagationMs-age)
+// NextAskDelay returns how long a node of this rank waits after a request to a peer that returned a confirmation of the given age.
+// The next confirmation is available when the first rank has read the platform again.
+func (s Schedule) NextAskDelay(rank int, age clock.Millis) clock.Millis {
+	return max(minAskIntervalMs, s.askEveryMs(rank)+readPropagationMs-age)
 }
