Send no request that has waited to a target whose entry is gone

Cause: after a wait the gate asked only whether the entry says that the target leaves. An entry that is gone says nothing. Evidence: the late requests had all been sent before the removal. TestWaitingRequestsAreNotSentToATargetThatLeaves, extended by a removal, failed before: 24 runs where 16 had started when the entry went. Change: one function decides for all requests that have waited: the target must be listed, not leaving, and not replaced by another one at its address. Requests that wait are refused when the list changes, not when their turn comes.

--- a/coltsfootd/gateway/admission.go
+++ b/coltsfootd/gateway/admission.go
@@ -89,6 +89,7 @@
 	}
 	select {
 	case d := <-decided:
+		d.Waited = true
 		return d
 	case <-ctx.Done():
 		return a.cancel(r.ID, decided)
@@ -124,6 +125,13 @@
 	return a.gate.Load(a.clock.Now())
 }
 
+// WaitingTargets returns the ids of the targets for which requests wait.
+func (a *Admission) WaitingTargets() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.WaitingTargets()
+}
+
 func (a *Admission) deliver(decisions []gate.Decision) {
 	for _, d := range decisions {
 		if decided, ok := a.waiting[d.ID]; ok {
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -97,19 +97,19 @@
 	r.status.publish(metrics, func() targetstatus.Lifetime { return r.lifetime(target()) })
 }
 
-// listed returns the target's entry in the target list, or an empty one if the list does not contain it.
-func (r *Runner) listed(target string) vm.VM {
+// listed returns the target's entry in the target list, or an empty one and false if the list does not contain it.
+func (r *Runner) listed(target string) (vm.VM, bool) {
 	v := r.Views.View()
 	if v == nil {
-		return vm.VM{}
+		return vm.VM{}, false
 	}
-	own, _ := v.VM(target)
-	return own
+	return v.VM(target)
 }
 
 // lifetime returns the lifetime of the target that the target list shows.
 func (r *Runner) lifetime(target string) targetstatus.Lifetime {
-	return targetstatus.Lifetime{Target: target, StartedMs: r.listed(target).StartedMs}
+	own, _ := r.listed(target)
+	return targetstatus.Lifetime{Target: target, StartedMs: own.StartedMs}
 }
 
 // RecordInnerRefusal records that an inner call of the local target was refused because the called service is overloaded.
@@ -147,11 +147,8 @@
 	if c.TargetStatus != nil {
 		r.status.adopt(r.lifetime(c.Target), *c.TargetStatus, received)
 	}
-	if r.leaves(c.Target) {
-		return refuse(call.ReasonLeaving), nil
-	}
-	if r.absentTargets.contains(c.Target, received) {
-		return refuse(call.ReasonNoTarget), nil
+	if reason := r.arrivalRefusal(c.Target); reason != "" {
+		return refuse(reason), nil
 	}
 	deadline := r.senderDeadlines.limit(c.Sender, received+c.TimeoutMs)
 	waiting, cancel := context.WithTimeout(ctx, (deadline - received).Duration())
@@ -167,6 +164,12 @@
 	}
 	start := time.Now()
 	admitted := r.Clock.Now()
+	if d.Waited {
+		if reason := r.waitingRefusal(c.Target); reason != "" {
+			r.Admission.Done(d.ID, gate.Sample{Cancelled: true})
+			return refuse(reason), nil
+		}
+	}
 	// The sender may have begun to stop while the request waited.
 	deadline = r.senderDeadlines.limit(c.Sender, deadline)
 	reply, response := r.runAtTarget(ctx, c, request, deadline-r.Clock.Now())
@@ -185,11 +188,43 @@
 	return reply, response
 }
 
-// leaves reports whether the target leaves, as the target list shows or as the target itself has stated.
-func (r *Runner) leaves(target string) bool {
-	own := r.listed(target)
+// arrivalRefusal returns the reason for which a request that arrives must not be sent to the target, or "". A target that is not
+// listed may be so new that its entry has only reached the sender.
+func (r *Runner) arrivalRefusal(target string) call.Reason {
+	own, _ := r.listed(target)
 	l := targetstatus.Lifetime{Target: target, StartedMs: own.StartedMs}
-	return own.State == vm.Leaving || r.status.status(l).Leaving
+	switch {
+	case own.State == vm.Leaving || r.status.status(l).Leaving:
+		return call.ReasonLeaving
+	case r.absentTargets.contains(target, r.Clock.Now()):
+		return call.ReasonNoTarget
+	default:
+		return ""
+	}
+}
+
+// waitingRefusal returns the reason for which a request that has waited must not be sent to the target, or "". What has changed
+// meanwhile counts, because a request can wait for longer than a target that leaves still serves. The entry of a new target has
+// arrived by now, so one that is not listed is gone.
+func (r *Runner) waitingRefusal(target string) call.Reason {
+	if _, ok := r.listed(target); !ok {
+		return call.ReasonNoTarget
+	}
+	return r.arrivalRefusal(target)
+}
+
+// RefuseWaiting refuses the requests that wait for a target which has left or is leaving.
+func (r *Runner) RefuseWaiting() {
+	reasons := make(map[string]call.Reason)
+	for _, target := range r.Admission.WaitingTargets() {
+		if reason := r.waitingRefusal(target); reason != "" {
+			reasons[target] = reason
+		}
+	}
+	if len(reasons) == 0 {
+		return
+	}
+	r.Admission.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision { return g.RefuseWaiting(reasons, now) })
 }
 
 func (r *Runner) admit(ctx context.Context, c dispatch.Context, now, deadline clock.Millis) gate.Decision {
@@ -200,7 +235,8 @@
 		class, depth = route.NonIdempotent, 1
 	}
 	d := r.Admission.Admit(ctx, gate.Request{
-		Account: c.Account, Class: class, Depth: depth, Arrival: now, Deadline: deadline, Sender: c.Sender,
+		Account: c.Account, Class: class, Depth: depth, Arrival: now, Deadline: deadline, Target: c.Target,
+		Sender: c.Sender,
 	})
 	if d.Reason == call.ReasonCallerGone && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		d.Reason = call.ReasonDeadlineExceeded
@@ -215,10 +251,6 @@
 	if left <= 0 {
 		return refuse(call.ReasonDeadlineExceeded), nil
 	}
-	if r.leaves(c.Target) {
-		// It has begun to leave while the request waited for its turn, which can take longer than the target still serves.
-		return refuse(call.ReasonLeaving), nil
-	}
 	fingerprint := poison.Fingerprint(c.Account, c.Route, request.Method, request.URI, poison.HashBody(request.Body))
 	ticket, ok := r.CrashGuard.Enter(fingerprint)
 	if !ok {
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -139,6 +139,14 @@
 	s.targets[i] = roster.Change{Name: v.Name, Revision: s.revision, VM: &v}
 }
 
+// removeTarget removes the entry of a target.
+func (s *fakePlatform) removeTarget(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.targets = slices.Delete(s.targets, i, i+1)
+}
+
 func (s *fakePlatform) Listed(context.Context, string) (bool, error) {
 	if s.unavailable.Load() {
 		return false, errUnavailable
--- a/coltsfootd/mesh/leaving_test.go
+++ b/coltsfootd/mesh/leaving_test.go
@@ -13,8 +13,22 @@
 )
 
 // Guards against operations that wait at a target's gate, for which there is no limit but their deadline, and are sent to the
-// target long after the list has shown that it leaves.
+// target long after the list has shown that it leaves, or after its entry was removed.
 func TestWaitingRequestsAreNotSentToATargetThatLeaves(t *testing.T) {
+	for name, c := range map[string]struct {
+		leave   func(p *fakePlatform)
+		targets string
+	}{
+		"leaving": {
+			func(p *fakePlatform) { p.updateTarget(0, func(v *vm.VM) { v.State = vm.Leaving }) }, `{"leaving":1,"live":0}`},
+		"removed": {func(p *fakePlatform) { p.removeTarget(0) }, `{"leaving":0,"live":0}`},
+	} {
+		t.Run(name, func(t *testing.T) { testWaitingRequests(t, c.leave, c.targets) })
+	}
+}
+
+func testWaitingRequests(t *testing.T, leave func(p *fakePlatform), targets string) {
+	t.Helper()
 	// The gate has 16 slots until it knows that the target has 8, so that some requests wait in any case.
 	const slots, requests = 8, 24
 	f := newFleet(t, "voids")
@@ -30,14 +44,20 @@
 		}
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second))
-	f.platform.updateTarget(0, func(v *vm.VM) { v.State = vm.Leaving })
+	leave(f.platform)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if targets := f.nodes[0].metrics.Get("targets").String(); targets != `{"leaving":1,"live":0}` {
-			return poll.Continue("the node lists targets %s", targets)
+		if got := f.nodes[0].metrics.Get("targets").String(); got != targets {
+			return poll.Continue("the node lists targets %s", got)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second))
 	running := f.targets[0].runs.Load()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if answered := len(statuses); answered < requests-int(running) {
+			return poll.Continue("%d requests that wait are refused", answered)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
 	f.targets[0].releaseRequests()
 	callers.Wait()
 	assert.Equal(t, f.targets[0].runs.Load(), running)
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -287,6 +287,7 @@
 func (n *Node) applyView(v *directory.View) {
 	n.retryBudget.SetFleetSize(len(v.VMs.VMs))
 	n.handler.Sender.DropUnlistedStatuses(v)
+	n.runner.RefuseWaiting()
 	if own, ok := n.ownTarget(v); ok {
 		n.setSlots(own.Slots)
 	}
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -1,8 +1,10 @@
 package gate
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
@@ -34,6 +36,8 @@
 	Arrival clock.Millis
 	// Deadline is the time after which the caller no longer needs the response.
 	Deadline clock.Millis
+	// Target is the id of the target that the call is for. Targets can follow each other at one address.
+	Target string
 	// Sender identifies the process that has sent the call and passes its response on; 0 if it is not known.
 	Sender uint64
 }
@@ -46,6 +50,8 @@
 	Reason call.Reason
 	// RetryAfterMs is the advised delay before a retry; it is set when the request is not admitted and a retry can succeed.
 	RetryAfterMs clock.Millis
+	// Waited is true if the request was in the queue.
+	Waited bool
 }
 
 // Config holds the policy parameters of a gate.
@@ -241,6 +247,32 @@
 	return g.Tick(now)
 }
 
+// WaitingTargets returns the ids of the targets for which calls wait.
+func (g *Gate) WaitingTargets() []string {
+	targets := make(map[string]bool)
+	for _, w := range g.queue.waiters {
+		targets[w.request.Target] = true
+	}
+	return slices.Collect(maps.Keys(targets))
+}
+
+// RefuseWaiting refuses the waiting calls for the targets to which reasons gives one.
+func (g *Gate) RefuseWaiting(reasons map[string]call.Reason, now clock.Millis) []Decision {
+	var refused []*waiter
+	for _, w := range g.queue.waiters {
+		if reasons[w.request.Target] != "" {
+			refused = append(refused, w)
+		}
+	}
+	sortByArrival(refused)
+	var decisions []Decision
+	for _, w := range refused {
+		g.remove(w)
+		decisions = g.refuse(decisions, w.request, reasons[w.request.Target], now)
+	}
+	return g.dispatch(now, decisions)
+}
+
 // Load returns the current load, which is reported to callers.
 func (g *Gate) Load(now clock.Millis) call.Load {
 	limit := g.config.Slots
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -391,3 +391,21 @@
 	assert.Equal(t, refused[0].Reason, call.ReasonDeadlineTooClose)
 	assert.Equal(t, len(g.LimitDeadlines(AnySender, 260, 270)), 1, "the node itself stops")
 }
+
+// Guards against calls that stay in the queue for a target that has left, and against refusing those for its successor at the
+// same address.
+func TestWaitingCallsForALostTargetAreRefused(t *testing.T) {
+	to := func(r Request, target string) Request { r.Target = target; return r }
+	g := newGate(Config{Slots: 1, QueueLimit: 10})
+	assert.Assert(t, g.Offer(to(nonIdempotent(1), "old"), 0)[0].Admitted)
+	g.Offer(to(nonIdempotent(2), "old"), 0)
+	g.Offer(to(nonIdempotent(3), "new"), 0)
+	targets := g.WaitingTargets()
+	slices.Sort(targets)
+	assert.DeepEqual(t, targets, []string{"new", "old"})
+	refused := g.RefuseWaiting(map[string]call.Reason{"old": call.ReasonNoTarget}, 10)
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].ID, uint64(2))
+	assert.Equal(t, refused[0].Reason, call.ReasonNoTarget)
+	assert.Equal(t, g.Done(1, Sample{}, 20)[0].ID, uint64(3))
+}
