--- a/coltsfootd/directory/delay_test.go
+++ b/coltsfootd/directory/delay_test.go
@@ -17,9 +17,9 @@
 	const (
 		// turnedAwayPercent is the largest share of nodes that the platform turns away while it serves the others.
 		turnedAwayPercent = 35
-		// callMs allows for a call to the platform or to a node, hops is the number of nodes that an update passes through.
-		callMs clock.Millis = 50
+		// hops is the number of nodes that an update passes through, callMs allows for a call to one of them or to the platform.
 		hops                = 2
+		callMs clock.Millis = 50
 	)
 	tickMs := clock.FromDuration(tickInterval)
 	for _, c := range []struct {
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -190,8 +190,8 @@
 	d.enqueue(func(now clock.Millis) { d.announce(SyncPath, d.ownState(now)) })
 }
 
-// AnnounceLeaving tells the announcement peers, and those with calls of this node, that this node accepts no new work, and for how
-// long it still passes on responses.
+// AnnounceLeaving tells the announcement peers, and those with calls of this node, that this node accepts no new work, and for
+// how long it still passes on responses.
 func (d *Directory) AnnounceLeaving(answersForMs clock.Millis) {
 	m := LeaveMessage{From: d.Address, Incarnation: d.Incarnation, AnswersForMs: answersForMs}
 	addresses := d.Peers.WithCalls()
--- a/coltsfootd/directory/takeover_test.go
+++ b/coltsfootd/directory/takeover_test.go
@@ -22,8 +22,8 @@
 // askAge is the lowest age of its own confirmation at which a node asks others for a newer one.
 const askAge clock.Millis = 500
 
-// Guards against a fleet in which every node reads the platform itself while its first reader is turned away, because the node that
-// takes over tells nobody that it has a confirmation.
+// Guards against a fleet in which every node reads the platform itself while its first reader is turned away, because the node
+// that takes over tells nobody that it has a confirmation.
 func TestReaderThatTakesOverTellsTheNextRanks(t *testing.T) {
 	_, second := newAddresses(t)
 	var told atomic.Bool
--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -195,7 +195,7 @@
 		}
 		return refusal(reason, notReadyRetryAfterMs)
 	}
-	if h.refuseCallers.Load() && !(in.inner && h.Sender.mayFinish(in.route.Class, in.route.ObjectiveMs)) {
+	if h.refuseCallers.Load() && (!in.inner || !h.Sender.mayFinish(in.route.Class, in.route.ObjectiveMs)) {
 		return refusal(call.ReasonLeaving, leavingRetryAfterMs)
 	}
 	if in.account.ID != "" && !h.Values.Fresh() {
--- a/coltsfootd/mesh/stop.go
+++ b/coltsfootd/mesh/stop.go
@@ -22,8 +22,8 @@
 )
 
 // stop shuts the node down: the node reports that it is not ready and announces to its peers that it is leaving, accepts
-// requests until callers have moved to other nodes, and completes the active requests. Requests that still wait at a gate, here or
-// at another node, are refused when they can no longer end in time.
+// requests until callers have moved to other nodes, and completes the active requests. Requests that still wait at a gate, here
+// or at another node, are refused when they can no longer end in time.
 func (n *Node) stop() error {
 	grace := n.settings.GraceSeconds.Duration() - graceMargin
 	deadline := time.Now().Add(grace)
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -106,8 +106,8 @@
 	return s.ReadEveryMs
 }
 
-// NextAskDelay returns how long a node of this rank waits after a request to a peer that returned a confirmation of the given age.
-// The next confirmation is available when the first rank has read the platform again.
+// NextAskDelay returns how long a node of this rank waits after a request to a peer that returned a confirmation of the given
+// age. The next confirmation is available when the first rank has read the platform again.
 func (s Schedule) NextAskDelay(rank int, age clock.Millis) clock.Millis {
 	return max(minAskIntervalMs, s.askEveryMs(rank)+readPropagationMs-age)
 }
--- a/core/freshness/freshness_test.go
+++ b/core/freshness/freshness_test.go
@@ -62,8 +62,8 @@
 	assert.Equal(t, readers, 199)
 }
 
-// Guards against a platform that comes back and is read by a fleet of thousands of nodes in the same moment: while all reads fail,
-// no more nodes may begin to read in a second than a large platform answers.
+// Guards against a platform that comes back and is read by a fleet of thousands of nodes in the same moment: while all reads
+// fail, no more nodes may begin to read in a second than a large platform answers.
 func TestReadersOfALargeFleetAreSpread(t *testing.T) {
 	const nodes, readsPerSecond = 2500, 5000
 	begin := make(map[clock.Millis]int)
