--- a/coltsfootd/directory/delay_test.go
+++ b/coltsfootd/directory/delay_test.go
@@ -10,9 +10,9 @@
 	"coltsfootusher.example/core/roster"
 )
 
-// Guards against a changed constant with which a change of the published values is in force too late on the nodes that the platform
-// serves, while it turns away the largest share of the others, and all of those that would read first. Reads without an answer are
-// the worst case: a rejected read ends sooner, but the takeover waits for neither.
+// Guards against a changed constant with which a change of the published values is in force too late on the nodes that the
+// platform serves, while it turns away the largest share of the others, and all of those that would read first. The takeover
+// waits neither for a rejected read nor for one without an answer, so that the sum is the same for both.
 func TestChangesAreInForceInTimeWithoutTheFirstReaders(t *testing.T) {
 	const (
 		// turnedAwayPercent is the largest share of nodes that the platform turns away while it serves the others.
--- a/coltsfootd/localtarget/senderdeadline.go
+++ b/coltsfootd/localtarget/senderdeadline.go
@@ -8,8 +8,8 @@
 	"coltsfootusher.example/core/gate"
 )
 
-// startMarginMs is the time by which a waiting request of a stopping node must be able to end before the deadline. The estimate at
-// the gate is a mean, which about half of the requests exceed.
+// startMarginMs is the time by which a waiting request of a stopping node must be able to end before the deadline. The estimate
+// at the gate is a mean, which about half of the requests exceed.
 const startMarginMs clock.Millis = 250
 
 // senderDeadlines holds the times after which stopping nodes can't pass on responses any more.
