Don't count a late failure as a new outage of the platform

What callers could see: after an outage, requests for up to 1.8 s instead of 0.5 s to a target whose entry had been removed. Cause: a node remembered "unreachable" until it got an answer itself. Its next answer counted as the platform's return, from which on removed entries stay in use for 1.8 s, and it passed that on to other nodes. Evidence: TestOldFailuresAreNoNewOutage failed before in two of its parts (with the old signature of the call). Change: calls count from the time at which they were sent, answers at other nodes count, too, and an outage is at least 1.2 s without any answer. Measured: tests of roster and directory pass.

--- a/coltsfootd/directory/policy.go
+++ b/coltsfootd/directory/policy.go
@@ -60,5 +60,6 @@
 	}
 	if d.lease.Confirm(version, at) {
 		d.confirmedAt.Store(int64(at))
+		d.roster.MarkPublisherReachable(at)
 	}
 }
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -68,7 +68,7 @@
 		return func(done clock.Millis) {
 			d.discovering = false
 			if err != nil {
-				d.discoverAfter = done + max(discoverIntervalMs, d.recordPlatformFailure("contacts", err))
+				d.discoverAfter = done + max(discoverIntervalMs, d.recordPlatformFailure("contacts", now, err))
 				return
 			}
 			if len(d.discovered.All) == 0 {
@@ -115,25 +115,25 @@
 	d.readingPolicy = false
 	switch {
 	case errors.Is(err, published.ErrNoPolicy):
-		d.recordPlatformSuccess(now)
+		d.recordPlatformSuccess(sentAt)
 		d.readPolicyAfter = now + noPolicyRetryMs
 		// Confirming that there is no policy spares the other nodes from asking the platform.
 		d.confirm(0, sentAt, platformSource)
 	case errors.Is(err, published.ErrPolicyUnreadable):
-		d.recordPlatformSuccess(now)
+		d.recordPlatformSuccess(sentAt)
 		d.readPolicyAfter = now + noPolicyRetryMs
 		d.reportUnreadablePolicy(err)
 	case err != nil:
-		d.readPolicyAfter = now + d.recordPlatformFailure("policy", err)
+		d.readPolicyAfter = now + d.recordPlatformFailure("policy", sentAt, err)
 	case !d.noteEpoch(p.Epoch, platformSource, now):
-		d.readPolicyAfter = now + d.recordPlatformFailure("policy", errWrongEpoch)
+		d.readPolicyAfter = now + d.recordPlatformFailure("policy", sentAt, errWrongEpoch)
 	case d.asksPeersFirst(d.nodes(), now):
 		d.readPolicyAfter = now
 	default:
 		d.logFirstRead(p)
 		d.policyReadAt = now
 		d.unreadable.Store(false)
-		d.recordPlatformSuccess(now)
+		d.recordPlatformSuccess(sentAt)
 		d.applyPolicy(p, platformSource)
 		d.confirm(p.Version, sentAt, platformSource)
 		if d.rank(d.nodes()) > 0 {
@@ -167,17 +167,18 @@
 				err = errWrongEpoch
 			}
 			if err != nil {
-				d.listTargetsAfter = done + d.recordPlatformFailure("targets", err)
+				d.listTargetsAfter = done + d.recordPlatformFailure("targets", now, err)
 				return
 			}
-			d.recordPlatformSuccess(done)
+			d.recordPlatformSuccess(now)
 			d.applyTargets(delta, entryErrs, platformSource, done)
 		}
 	})
 }
 
 // recordPlatformFailure counts a failed platform call and returns the delay before the next one.
-func (d *Directory) recordPlatformFailure(call string, err error) clock.Millis {
+func (d *Directory) recordPlatformFailure(call string, sentAt clock.Millis, err error) clock.Millis {
+	d.roster.MarkPublisherUnreachable(sentAt)
 	d.markPlatformUnreachable(call, err)
 	delay := min(d.maxRetryDelay(), readRetryMs<<min(d.platformFailures, maxRetryDoublings))
 	d.platformFailures++
@@ -186,7 +187,6 @@
 
 // markPlatformUnreachable logs the first failed call since the platform last answered.
 func (d *Directory) markPlatformUnreachable(call string, err error) {
-	d.roster.MarkPublisherUnreachable()
 	if d.platformUnreachable {
 		return
 	}
@@ -195,9 +195,9 @@
 		"confirmationAgeMs", int64(d.Age()))
 }
 
-func (d *Directory) recordPlatformSuccess(now clock.Millis) {
+func (d *Directory) recordPlatformSuccess(sentAt clock.Millis) {
 	d.platformFailures = 0
-	d.roster.MarkPublisherReachable(now)
+	d.roster.MarkPublisherReachable(sentAt)
 	if d.platformUnreachable {
 		d.platformUnreachable = false
 		_ = level.Info(d.Logger).Log("msg", "platform answers again")
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -18,6 +18,9 @@
 	UnlistedGraceMs clock.Millis = 500
 	// ServingConfirmationMs is the time for which the confirmation of the node beside an unlisted target is valid.
 	ServingConfirmationMs clock.Millis = 1500
+	// minOutageMs is the shortest time without an answer, here or at other nodes, in which entries can expire because the publisher
+	// is unreachable. One failed call is no outage.
+	minOutageMs clock.Millis = 1200
 )
 
 type entry struct {
@@ -39,7 +42,10 @@
 	departures *departures
 	gaps       gaps
 	// publisherBackAt is the time at which the publisher last became reachable again, or was restored.
-	publisherBackAt      clock.Millis
+	publisherBackAt clock.Millis
+	// answeredAt is the time at which the latest call was sent that the publisher has answered. publisherUnreachable is true if a
+	// later one has failed.
+	answeredAt           clock.Millis
 	publisherUnreachable bool
 }
 
@@ -53,16 +59,25 @@
 	return r.position
 }
 
-// MarkPublisherUnreachable records that the publisher can't be reached.
-func (r *Roster) MarkPublisherUnreachable() {
-	r.publisherUnreachable = true
+// MarkPublisherUnreachable records that the publisher has not answered a call that was sent at the time. A call that was sent before
+// the latest answered one says nothing about the time since.
+func (r *Roster) MarkPublisherUnreachable(sentAt clock.Millis) {
+	if sentAt > r.answeredAt {
+		r.publisherUnreachable = true
+	}
 }
 
-// MarkPublisherReachable records that the publisher has answered.
-func (r *Roster) MarkPublisherReachable(now clock.Millis) {
-	if r.publisherUnreachable {
-		r.publisherUnreachable, r.publisherBackAt = false, now
+// MarkPublisherReachable records that the publisher has answered a call that was sent at the time, here or at another node.
+func (r *Roster) MarkPublisherReachable(sentAt clock.Millis) {
+	if sentAt <= r.answeredAt {
+		return
+	}
+	silence := sentAt - r.answeredAt
+	r.answeredAt = sentAt
+	if r.publisherUnreachable && silence >= minOutageMs {
+		r.publisherBackAt = sentAt
 	}
+	r.publisherUnreachable = false
 }
 
 // MarkPublisherRestored records that the publisher has returned from a copy. Targets write again what the copy lacks.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -40,7 +40,7 @@
 	r := roster.New()
 	r.Apply(roster.Delta{Revision: 2, Full: true, Changes: []roster.Change{
 		listed("a", 1, vm.Live), listed("b", 1, vm.Live), listed("c", 1, vm.Leaving)}}, 0)
-	r.MarkPublisherUnreachable()
+	r.MarkPublisherUnreachable(9000)
 	r.MarkPublisherReachable(10_000)
 	r.Apply(roster.Delta{Revision: 9, Full: true}, 10_000)
 	assert.Equal(t, names(r), "a:live b:live ", "a target that was leaving is not kept")
@@ -72,7 +72,7 @@
 func TestEntryExpiredWhilePublisherWasUnreachableCannotBeConfirmed(t *testing.T) {
 	r := roster.New()
 	r.Apply(roster.Delta{Revision: 2, Full: true, Changes: []roster.Change{listed("a", 1, vm.Live)}}, 0)
-	r.MarkPublisherUnreachable()
+	r.MarkPublisherUnreachable(9000)
 	r.MarkPublisherReachable(10_000)
 	r.Apply(roster.Delta{Revision: 9, Full: true}, 10_100)
 	assert.Assert(t, !r.ConfirmServing("a", 10_200))
@@ -80,6 +80,39 @@
 	assert.Equal(t, names(r), "")
 }
 
+// Guards against a failed call of the last moments of an outage, or from long ago at a node that no longer reads, that counts as a
+// new outage: removed targets would stay in use for longer than the operators allow.
+func TestOldFailuresAreNoNewOutage(t *testing.T) {
+	for name, calls := range map[string]func(r *roster.Roster){
+		"failure known after the first answer": func(r *roster.Roster) {
+			r.MarkPublisherUnreachable(6000)
+			r.MarkPublisherReachable(9350)
+			r.MarkPublisherUnreachable(9200)
+		},
+		"answers at other nodes": func(r *roster.Roster) {
+			r.MarkPublisherUnreachable(6000)
+			r.MarkPublisherReachable(9350)
+			r.MarkPublisherUnreachable(10_000)
+			r.MarkPublisherReachable(10_200)
+		},
+		"one lost answer": func(r *roster.Roster) {
+			r.MarkPublisherReachable(19_000)
+			r.MarkPublisherUnreachable(19_500)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New()
+			r.Apply(roster.Delta{Revision: 2, Full: true, Changes: []roster.Change{listed("a", 1, vm.Live)}}, 0)
+			r.MarkPublisherReachable(5000)
+			calls(r)
+			r.MarkPublisherReachable(20_000)
+			r.Apply(roster.Delta{Revision: 3, Full: true}, 20_000)
+			assert.Equal(t, r.LapseGrace(20_000), clock.Millis(0))
+			assert.Assert(t, r.RemoveExpired(20_000+roster.UnlistedGraceMs))
+		})
+	}
+}
+
 // Guards against a peer that only learns of additions, or that gets the whole list for each change.
 func TestDeltaSinceIncludesRemovals(t *testing.T) {
 	from, to := roster.New(), roster.New()
@@ -155,7 +188,7 @@
 	for _, r := range []*roster.Roster{reader, other} {
 		r.Apply(roster.Delta{Full: true, Revision: 1, Changes: []roster.Change{live}}, 0)
 	}
-	reader.MarkPublisherUnreachable()
+	reader.MarkPublisherUnreachable(9000)
 	reader.MarkPublisherReachable(10_000)
 	removal := roster.Delta{BaseRevision: 1, Revision: 2, Changes: []roster.Change{{Name: "a", Revision: 2}}}
 	reader.Apply(removal, 10_000)
