Read the list again when the watch does not deliver its changes

What callers could see: requests to a target for up to 3 s after the acknowledgement of its leaving (bound 2 s), for as long as a watch of the reading node delivers nothing and shows no error, up to 17 s. Cause: a watch that was opened in the last moments of an outage, or whose connection has gone silent, ends only by its own timeout. Until then the list was read every 3 s, an interval that no sum against the bounds contained. Evidence: TestWatchThatDeliversNothingIsReplaced failed before (the target was in use until the list was read). Change: each read of the policy names the revision of the store. If the list is behind it after 0.2 s, the list is read, at most once a second, and a watch that has not delivered what the list shows is replaced. The sum is part of TestChangesAreInForceInTimeWithoutTheFirstReaders. A change of the policy costs one read of the list more. Measured: tests of directory and platform pass.

--- a/coltsfootd/directory/delay_test.go
+++ b/coltsfootd/directory/delay_test.go
@@ -33,6 +33,10 @@
 			policy := read + callMs + hops*callMs
 			leaving := policy + callMs
 			removal := leaving + roster.UnlistedGraceMs + tickMs
+			// A watch that delivers nothing is noticed by a read of the policy. The list may just have been read.
+			noticed := confirmationSchedule.ReadEveryMs + tickMs + callMs + watchDeliveryMs
+			unwatched := max(noticed, minListIntervalMs) + tickMs + callMs + hops*callMs + roster.UnlistedGraceMs + tickMs
+			assert.Assert(t, unwatched <= c.boundMs, "removed target after %d ms without a watch", unwatched)
 			assert.Assert(t, policy <= c.boundMs, "policy after %d ms", policy)
 			assert.Assert(t, leaving <= c.boundMs, "leaving target after %d ms", leaving)
 			assert.Assert(t, removal <= c.boundMs, "removed target after %d ms", removal)
--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -127,8 +127,14 @@
 	askPeersUntil clock.Millis
 	stopWatches   context.CancelFunc
 	// watchedEpoch is the epoch of the running watches.
-	watchedEpoch int64
-	calls        platformCalls
+	watchedEpoch     int64
+	watchesStartedAt clock.Millis
+	// platformPosition is the position of the platform at the last read of the policy. The watch must have delivered the changes up
+	// to it by checkListAfter. listedAt is the time of the last read of the list.
+	platformPosition history.Position
+	checkListAfter   clock.Millis
+	listedAt         clock.Millis
+	calls            platformCalls
 	// platformFailures counts the failed platform calls since the last successful one.
 	platformFailures    int
 	platformUnreachable bool
@@ -208,7 +214,7 @@
 		d.startPolicyRead(ctx, now)
 	}
 	reader := slices.Contains(nodes.All, d.Address) && (rank == 0 || now < d.policyReadAt+readerHoldMs)
-	if reader && !d.listingTargets && now >= d.listTargetsAfter && !peersFirst {
+	if reader && !d.listingTargets && (now >= d.listTargetsAfter || d.listBehind(now)) && !peersFirst {
 		d.startTargetsRead(ctx, now)
 	}
 	d.checkServing(ctx, now)
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
 )
 
@@ -30,6 +31,10 @@
 	// listIntervalMs is how often a node that watches the platform also reads the whole list of targets, in case a watch no
 	// longer delivers changes.
 	listIntervalMs clock.Millis = 3000
+	// watchDeliveryMs is the time in which a watch delivers changes. After that the list is read again if a read of the policy has
+	// shown a newer revision, but at most once per minListIntervalMs.
+	watchDeliveryMs   clock.Millis = 200
+	minListIntervalMs clock.Millis = 1000
 	// readerHoldMs is the time after its last policy read during which a node keeps watching the platform although its rank is no
 	// longer 0.
 	readerHoldMs clock.Millis = 3000
@@ -134,6 +139,8 @@
 		d.policyReadAt = now
 		d.unreadable.Store(false)
 		d.recordPlatformSuccess(sentAt)
+		d.platformPosition = history.Position{Epoch: p.Epoch, Revision: p.Revision}
+		d.checkListAfter = now + watchDeliveryMs
 		d.applyPolicy(p, platformSource)
 		d.confirm(p.Version, sentAt, platformSource)
 		if d.rank(d.nodes()) > 0 {
@@ -156,7 +163,7 @@
 }
 
 func (d *Directory) startTargetsRead(ctx context.Context, now clock.Millis) {
-	d.listingTargets = true
+	d.listingTargets, d.listedAt = true, now
 	d.calls.lists.Add(1)
 	d.callPlatform(ctx, func(ctx context.Context) func(done clock.Millis) {
 		delta, entryErrs, err := d.Platform.Targets(ctx)
@@ -171,11 +178,19 @@
 				return
 			}
 			d.recordPlatformSuccess(now)
-			d.applyTargets(delta, entryErrs, platformSource, done)
+			if d.applyTargets(delta, entryErrs, platformSource, done) {
+				d.replaceWatches(done)
+			}
 		}
 	})
 }
 
+// listBehind reports whether the platform has had changes for so long that the watch should have delivered them. Such a watch shows
+// no error until it ends. The changes may also be of other values than the list, so that reads are limited in number.
+func (d *Directory) listBehind(now clock.Millis) bool {
+	return d.roster.Position().Before(d.platformPosition) && now >= d.checkListAfter && now >= d.listedAt+minListIntervalMs
+}
+
 // recordPlatformFailure counts a failed platform call and returns the delay before the next one.
 func (d *Directory) recordPlatformFailure(call string, sentAt clock.Millis, err error) clock.Millis {
 	d.roster.MarkPublisherUnreachable(sentAt)
--- a/coltsfootd/directory/takeover_test.go
+++ b/coltsfootd/directory/takeover_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -16,12 +17,16 @@
 
 	"coltsfootusher.example/coltsfootd/directory"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/vm"
 )
 
 // askAge is the lowest age of its own confirmation at which a node asks others for a newer one.
 const askAge clock.Millis = 500
 
+// beforeWatchEnds is shorter than the time after which a watch without an answer ends by itself.
+const beforeWatchEnds = 12 * time.Second
+
 // Guards against a fleet in which every node reads the platform itself while its first reader is turned away, because the node
 // that takes over tells nobody that it has a confirmation.
 func TestReaderThatTakesOverTellsTheNextRanks(t *testing.T) {
@@ -97,3 +102,34 @@
 		return poll.Success()
 	}, poll.WithTimeout(waitLimit), poll.WithDelay(20*time.Millisecond))
 }
+
+// Guards against a watch that delivers nothing any more and shows no error, such as one that was opened in the last moments of an
+// outage: targets that leave would stay in use until the list is read again.
+func TestWatchThatDeliversNothingIsReplaced(t *testing.T) {
+	platform := newRestorablePlatform(1, 9, targetAt(1, 5, 1, vm.Live))
+	c := &manualClock{}
+	c.now.Store(1_000_000)
+	d := newDirectory(c, ownAddress, 1, platform)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go d.Run(ctx)
+	waitForView(t, d)
+	platform.waitForWatch(t, history.Position{Epoch: 1, Revision: 9})
+	// The changes of the fake platform's list are not delivered by its watches.
+	platform.restore(1, 12, targetAt(1, 11, 2, vm.Leaving))
+	platform.mu.Lock()
+	platform.policy.Revision = 12
+	platform.mu.Unlock()
+	// Less than the interval at which the list is read in any case.
+	for range 4 {
+		c.now.Add(600)
+		waitForTicks(t, &c.reads)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if v, _ := d.View().VM("t1"); v.State != vm.Leaving {
+			return poll.Continue("the target is %s", v.State)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(beforeWatchEnds))
+	platform.waitForWatch(t, history.Position{Epoch: 1, Revision: 12})
+}
--- a/coltsfootd/directory/view.go
+++ b/coltsfootd/directory/view.go
@@ -11,12 +11,13 @@
 	"coltsfootusher.example/core/vm"
 )
 
-func (d *Directory) applyTargets(delta roster.Delta, entryErrs []error, source string, now clock.Millis) {
+// applyTargets applies a list or its changes and reports whether anything in it was new.
+func (d *Directory) applyTargets(delta roster.Delta, entryErrs []error, source string, now clock.Millis) bool {
 	for _, entryErr := range entryErrs {
 		_ = level.Debug(d.Logger).Log("msg", "published entry ignored", "err", entryErr)
 	}
 	if !d.noteEpoch(delta.Epoch, source, now) && source == platformSource {
-		return // A late answer. Other nodes may still send what they learned in an earlier epoch.
+		return false // A late answer. Other nodes may still send what they learned in an earlier epoch.
 	}
 	base := d.roster.Position()
 	changes := d.roster.Apply(delta, now)
@@ -24,15 +25,17 @@
 	for _, c := range changes {
 		d.logTargetChange(c, source)
 	}
-	if len(changes) == 0 && d.view.Load() != nil {
-		return
+	if len(changes) == 0 {
+		if d.view.Load() == nil {
+			d.updateView()
+		}
+		return false
 	}
 	d.updateView()
-	if len(changes) > 0 {
-		toForward := d.roster.DeltaToForward(base, delta)
-		toForward.LapseGraceMs = d.roster.LapseGrace(now)
-		d.propagate(source, syncMessage{Roster: &toForward})
-	}
+	toForward := d.roster.DeltaToForward(base, delta)
+	toForward.LapseGraceMs = d.roster.LapseGrace(now)
+	d.propagate(source, syncMessage{Roster: &toForward})
+	return true
 }
 
 func (d *Directory) logTargetChange(c roster.Change, source string) {
--- a/coltsfootd/directory/watch.go
+++ b/coltsfootd/directory/watch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
@@ -34,11 +36,22 @@
 		return
 	}
 	ctx, d.stopWatches = context.WithCancel(ctx)
-	d.watchedEpoch = position.Epoch
+	d.watchedEpoch, d.watchesStartedAt = position.Epoch, d.Clock.Now()
 	go d.watchTargets(ctx, position)
 	go d.watchPolicy(ctx, position)
 }
 
+// replaceWatches ends watches that have not delivered a change which a read of the list has shown. They begin again with the next
+// tick.
+func (d *Directory) replaceWatches(now clock.Millis) {
+	if d.stopWatches == nil || now < d.watchesStartedAt+minListIntervalMs {
+		return
+	}
+	_ = level.Warn(d.Logger).Log("msg", "watch has not delivered a change of the list, starting a new one")
+	d.stopWatches()
+	d.stopWatches = nil
+}
+
 // watchTargets follows the list of targets until ctx ends. After a failure the whole list is read again, because the platform may
 // have discarded the changes since the last revision.
 func (d *Directory) watchTargets(ctx context.Context, after history.Position) {
--- a/core/published/policy.go
+++ b/core/published/policy.go
@@ -26,8 +26,10 @@
 	Bounds       CallerLimits `json:"bounds"`
 	// AccountsIncomplete is true if the row of an account could not be read, so that an unknown key may belong to that account.
 	AccountsIncomplete bool `json:"accountsIncomplete,omitempty"`
-	// Epoch counts the restores of the publisher's store up to the read. Only the node that read the policy knows it.
-	Epoch int64 `json:"-"`
+	// Epoch counts the restores of the publisher's store up to the read, and Revision is that of the whole store at the read, or 0
+	// if it isn't known. Only the node that read the policy knows them.
+	Epoch    int64 `json:"-"`
+	Revision int64 `json:"-"`
 	// Problems lists the rows that could not be used as published. Only the node that read the policy has this list.
 	Problems []Problem `json:"-"`
 }
