Bound the memory of all long responses together

Reported by other operators: a faulty target sends bytes without end, and the node that called it runs out of memory with the requests of other accounts. For one response that can't happen here; heads, bodies and responses to other requests have limits with tests. Cause of what was left: the first 64 KB of each long body are held until its caller has read them, without a limit on their sum. Evidence: TestLongResponsesStayWithinTheMemoryBudget failed before (50 responses held 3.2 MB). Change: the beginnings of long responses are reserved in a budget of a fifth of the memory. Without room 4 KB are held and the rest is passed on as it is read. Short responses need no reservation. Measured: tests of upstream, body, peers, quotas and mesh pass.

--- a/coltsfootd/body/body.go
+++ b/coltsfootd/body/body.go
@@ -100,14 +100,29 @@
 	}
 }
 
+// TryReserve reserves memory for a part of a body that is held elsewhere, and reports whether there is enough. It must be returned
+// with Return.
+func (b *Budget) TryReserve(size int64) bool {
+	if used := b.used.Add(size); b.limit > 0 && used > b.limit {
+		b.used.Add(-size)
+		return false
+	}
+	return true
+}
+
+// Return returns reserved memory.
+func (b *Budget) Return(size int64) {
+	b.used.Add(-size)
+}
+
 // Used returns the number of bytes that are reserved for bodies.
 func (b *Budget) Used() int64 {
 	return b.used.Load()
 }
 
-// Publish exports the number of reserved bytes as a metric.
-func (b *Budget) Publish(metrics *expvar.Map) {
-	metrics.Set("bodyBytes", expvar.Func(func() any { return b.Used() }))
+// Publish exports the number of reserved bytes as the metric with the name.
+func (b *Budget) Publish(metrics *expvar.Map, name string) {
+	metrics.Set(name, expvar.Func(func() any { return b.Used() }))
 }
 
 func (b *Body) readAll(r io.Reader, length, limit int64) error {
@@ -156,8 +171,7 @@
 	if extra <= 0 {
 		return true
 	}
-	if used := b.budget.used.Add(extra); b.budget.limit > 0 && used > b.budget.limit {
-		b.budget.used.Add(-extra)
+	if !b.budget.TryReserve(extra) {
 		return false
 	}
 	b.reserved = total
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -120,13 +120,15 @@
 	n.sockets = socket.NewBudget(s.MaxFiles)
 	n.sockets.Publish(metrics)
 	n.bodies = body.NewBudget(s.MemoryMB)
-	n.bodies.Publish(metrics)
-	n.peers = peers.New(s.PeerAddrPort().Addr().String(), n.clock, n.sockets, logging.WithPart(n.logger, "peers"))
+	n.bodies.Publish(metrics, "bodyBytes")
+	responses := body.NewBudget(s.MemoryMB)
+	responses.Publish(metrics, "responseBytes")
+	n.peers = peers.New(s.PeerAddrPort().Addr().String(), n.clock, n.sockets, responses, logging.WithPart(n.logger, "peers"))
 	n.peers.Publish(metrics)
 	n.targetPool = upstream.New(s.TargetAddress, upstream.Settings{
 		DialTimeout: targetDialTimeout, AckTimeout: targetAckTimeout, IdleTimeout: targetIdleTimeout,
 		MaxIdle: n.sockets.MaxIdleToTarget(), EchoHeader: dialect.EchoHeader(), BufferBytes: targetBufferBytes,
-		Sockets: n.sockets,
+		Memory: responses, Sockets: n.sockets,
 	})
 	n.health = localtarget.NewHealthProber(s.Service, dialect, n.targetPool)
 	n.directory = directory.New(directory.Config{
--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -89,7 +89,9 @@
 	localIP string
 	clock   clock.Clock
 	sockets *socket.Budget
-	logger  log.Logger
+	// memory limits the buffers of responses; nil means no limit.
+	memory upstream.MemoryBudget
+	logger log.Logger
 	// changedAt is the last time at which a peer became unreachable or reachable again.
 	changedAt atomic.Int64
 	// unreachableCount is the number of unreachable peers.
@@ -104,9 +106,9 @@
 }
 
 // New returns a table for a node that opens connections from localIP.
-func New(localIP string, c clock.Clock, sockets *socket.Budget, logger log.Logger) *Table {
+func New(localIP string, c clock.Clock, sockets *socket.Budget, memory upstream.MemoryBudget, logger log.Logger) *Table {
 	return &Table{
-		localIP: localIP, clock: c, sockets: sockets, logger: logger, peers: make(map[string]*Peer),
+		localIP: localIP, clock: c, sockets: sockets, memory: memory, logger: logger, peers: make(map[string]*Peer),
 		suspectedAt: make(map[string]time.Time),
 	}
 }
@@ -124,7 +126,8 @@
 	if p == nil {
 		p = &Peer{table: t, calls: make(map[uint64]activeCall), pool: upstream.New(address, upstream.Settings{
 			LocalIP: t.localIP, DialTimeout: dialTimeout, AckTimeout: ackTimeout, IdleTimeout: idleTimeout,
-			MaxIdle: defaultMaxIdle, MaxResponseHeaderBytes: maxResponseHeaderBytes, BufferBytes: bufferBytes, Sockets: t.sockets,
+			MaxIdle: defaultMaxIdle, MaxResponseHeaderBytes: maxResponseHeaderBytes, BufferBytes: bufferBytes, Memory: t.memory,
+			Sockets: t.sockets,
 		})}
 		t.peers[address] = p
 	}
--- a/coltsfootd/upstream/limit_test.go
+++ b/coltsfootd/upstream/limit_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootusher.example/coltsfootd/socket"
 	"coltsfootusher.example/coltsfootd/upstream"
 )
 
@@ -137,3 +138,52 @@
 	}
 	assert.Equal(t, pool.Opened(), int64(2))
 }
+
+// fixedMemory is a memory budget that counts what is reserved.
+type fixedMemory struct{ limit, used int64 }
+
+func (m *fixedMemory) TryReserve(size int64) bool {
+	if m.used+size > m.limit {
+		return false
+	}
+	m.used += size
+	return true
+}
+
+func (m *fixedMemory) Return(size int64) { m.used -= size }
+
+// Load pattern: a target sends long or endless bodies to many callers that read slowly. Guards against a node that holds the
+// beginning of each of them and runs out of memory, and against short responses that fail for lack of it.
+func TestLongResponsesStayWithinTheMemoryBudget(t *testing.T) {
+	const responses, bufferBytes, shortBytes = 50, 64 << 10, 4 << 10
+	memory := &fixedMemory{limit: 4 * bufferBytes}
+	newLimitedPool := func(address string) *upstream.Pool {
+		return upstream.New(address, upstream.Settings{
+			DialTimeout: time.Second, AckTimeout: 2 * time.Second, IdleTimeout: time.Minute, MaxIdle: 4, EchoHeader: "Id",
+			BufferBytes: bufferBytes, Memory: memory, Sockets: socket.NewBudget(1 << 10),
+		})
+	}
+	endless := newLimitedPool(serveEndless(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "some bytes"))
+	held := 0
+	open := make([]*upstream.Response, 0, responses)
+	for range responses {
+		response, err := endless.Do(context.Background(), request("1"))
+		assert.NilError(t, err)
+		held += len(response.Body)
+		open = append(open, response)
+	}
+	assert.Assert(t, held <= int(memory.limit)+responses*(shortBytes+1), "%d bytes", held)
+	short := newLimitedPool(serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			writeResponse(c, "1", "short")
+		}
+	}))
+	response, err := short.Do(context.Background(), request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(response.Body), "short")
+	response.Close()
+	for _, other := range open {
+		other.Close()
+	}
+	assert.Equal(t, memory.used, int64(0))
+}
--- a/coltsfootd/upstream/message.go
+++ b/coltsfootd/upstream/message.go
@@ -56,13 +56,21 @@
 	Unbuffered io.ReadCloser
 	// ContentLength is the announced length of the body, or -1.
 	ContentLength int64
+	// memory is the budget from which reserved bytes were taken for the buffered part.
+	memory   MemoryBudget
+	reserved int64
 }
 
-// Close closes the connection of a response whose body was not buffered whole.
+// Close closes the connection of a response whose body was not buffered whole, and returns the memory of the buffered part, which
+// must not be used afterwards.
 func (r *Response) Close() {
 	if r.Unbuffered != nil {
 		_ = r.Unbuffered.Close()
 	}
+	if r.reserved > 0 {
+		r.memory.Return(r.reserved)
+		r.reserved = 0
+	}
 }
 
 // ReadBody returns the whole body, including the part that was not buffered. The error is ErrResponseTooLarge if the body is
--- a/coltsfootd/upstream/pool.go
+++ b/coltsfootd/upstream/pool.go
@@ -35,10 +35,22 @@
 	MaxResponseHeaderBytes int64
 	// BufferBytes is the part of a response body that is buffered.
 	BufferBytes int64
+	// Memory limits the buffers of all responses that are in use at a time; nil means no limit.
+	Memory MemoryBudget
 	// Sockets counts the open connections.
 	Sockets *socket.Budget
 }
 
+// MemoryBudget limits the memory of a process for one purpose.
+type MemoryBudget interface {
+	TryReserve(size int64) bool
+	Return(size int64)
+}
+
+// unreservedBytes is the part of each body that is buffered without a reservation, so that short responses don't depend on how
+// much memory long ones take.
+const unreservedBytes = 4 << 10
+
 // Pool sends requests to one address.
 type Pool struct {
 	address  string
@@ -124,13 +136,23 @@
 	return err
 }
 
+// bufferResponse reads the beginning of the body, or all of a short one. If there is no memory for that, less is read.
 func (p *Pool) bufferResponse(ctx context.Context, c *conn, response *http.Response, stop func() bool) (*Response, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, p.settings.BufferBytes+1))
-	if err != nil {
+	result := &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength}
+	size := p.settings.BufferBytes
+	if reserved := p.expectedBytes(response.ContentLength) - unreservedBytes; reserved > 0 && p.settings.Memory != nil {
+		if p.settings.Memory.TryReserve(reserved) {
+			result.memory, result.reserved = p.settings.Memory, reserved
+		} else {
+			size = unreservedBytes
+		}
+	}
+	var err error
+	if result.Body, err = io.ReadAll(io.LimitReader(response.Body, size+1)); err != nil {
+		result.Close()
 		return nil, err
 	}
-	result := &Response{Status: response.StatusCode, Header: response.Header, Body: body, ContentLength: response.ContentLength}
-	if int64(len(body)) > p.settings.BufferBytes {
+	if int64(len(result.Body)) > size {
 		result.Unbuffered = &unbufferedBody{ReadCloser: response.Body, conn: c, stop: stop}
 		return result, nil
 	}
@@ -144,6 +166,14 @@
 	return result, nil
 }
 
+// expectedBytes returns the number of bytes that are buffered of a body with the announced length, which is negative if none is.
+func (p *Pool) expectedBytes(length int64) int64 {
+	if length < 0 {
+		return p.settings.BufferBytes
+	}
+	return min(length, p.settings.BufferBytes)
+}
+
 func (p *Pool) acquire(ctx context.Context, reuse bool) (*conn, error) {
 	now := time.Now()
 	for reuse {
