--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -185,8 +185,8 @@
 	})
 }
 
-// listBehind reports whether the platform has had changes for so long that the watch should have delivered them. Such a watch shows
-// no error until it ends. The changes may also be of other values than the list, so that reads are limited in number.
+// listBehind reports whether the platform has had changes for so long that the watch should have delivered them. Such a watch
+// shows no error until it ends. The changes may also be of other values than the list, so that reads are limited in number.
 func (d *Directory) listBehind(now clock.Millis) bool {
 	return d.roster.Position().Before(d.platformPosition) && now >= d.checkListAfter && now >= d.listedAt+minListIntervalMs
 }
