--- a/coltsfootd/body/body.go
+++ b/coltsfootd/body/body.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// TryReserve reserves memory for a part of a body that is held elsewhere, and reports whether there is enough. It must be returned
-// with Return.
+// TryReserve reserves memory for a part of a body that is held elsewhere, and reports whether there is enough. It must be
+// returned with Return.
 func (b *Budget) TryReserve(size int64) bool {
 	if used := b.used.Add(size); b.limit > 0 && used > b.limit {
 		b.used.Add(-size)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -59,8 +59,8 @@
 	return r.position
 }
 
-// MarkPublisherUnreachable records that the publisher has not answered a call that was sent at the time. A call that was sent before
-// the latest answered one says nothing about the time since.
+// MarkPublisherUnreachable records that the publisher has not answered a call that was sent at the time. A call that was sent
+// before the latest answered one says nothing about the time since.
 func (r *Roster) MarkPublisherUnreachable(sentAt clock.Millis) {
 	if sentAt > r.answeredAt {
 		r.publisherUnreachable = true
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -80,8 +80,8 @@
 	assert.Equal(t, names(r), "")
 }
 
-// Guards against a failed call of the last moments of an outage, or from long ago at a node that no longer reads, that counts as a
-// new outage: removed targets would stay in use for longer than the operators allow.
+// Guards against a failed call of the last moments of an outage, or from long ago at a node that no longer reads, that counts as
+// a new outage: removed targets would stay in use for longer than the operators allow.
 func TestOldFailuresAreNoNewOutage(t *testing.T) {
 	for name, calls := range map[string]func(r *roster.Roster){
 		"failure known after the first answer": func(r *roster.Roster) {
