Let a stopping node with a short grace period refuse callers in time

Change: at most half of the grace period. A request whose deadline passes just before it is sent carries no negative timeout, which the receiving node would reject as malformed and the sender take for "may have run".

--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -268,7 +268,7 @@
 func (s *Sender) attempt(ctx context.Context, v vm.VM, j Job, choice balance.Choice) (dispatch.Reply, *upstream.Response) {
 	now := s.Clock.Now()
 	j.Target, j.TargetStatus = v.Name, s.statuses.get(lifetime(v))
-	j.Sender, j.TimeoutMs = s.Incarnation, s.deadline(j)-now
+	j.Sender, j.TimeoutMs = s.Incarnation, max(0, s.deadline(j)-now)
 	s.Balancer.Started(v.Name, now)
 	start := time.Now()
 	reply, response := s.deliver(ctx, v, j)
--- a/coltsfootd/mesh/stop.go
+++ b/coltsfootd/mesh/stop.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// stopDelay is the time for which the node still accepts requests after it was told to stop. The platform needs two failed
+	// maxStopDelay is the time for which the node still accepts requests after it was told to stop. The platform needs two failed
 	// readiness probes, one second apart, before it sends callers to other nodes.
-	stopDelay = 2300 * time.Millisecond
+	maxStopDelay = 2300 * time.Millisecond
+	// maxDelayShare is the part of the grace period for which requests are accepted at most, so that they can still end in it.
+	maxDelayShare = 0.5
 	// graceMargin is the part of the grace period that is reserved for the exit of the process.
 	graceMargin        = 400 * time.Millisecond
 	activePollInterval = 20 * time.Millisecond
@@ -34,7 +36,7 @@
 	n.handler.Sender.StopBy(answerBy)
 	n.runner.LimitSender(gate.AnySender, answerBy)
 	n.directory.AnnounceLeaving(answerBy - n.clock.Now())
-	time.Sleep(stopDelay)
+	time.Sleep(stopDelay(grace))
 	// A node that missed the first announcement must know before the requests of this one wait in vain.
 	n.directory.AnnounceLeaving(answerBy - n.clock.Now())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -54,3 +56,8 @@
 		"cutAtEntry", n.entryServer.Active(), "cutAtPeerAddress", n.peerServer.Active(), "entryErr", errEntry, "peerErr", errPeer)
 	return nil
 }
+
+// stopDelay returns the time for which a node with the grace period still accepts requests.
+func stopDelay(grace time.Duration) time.Duration {
+	return min(maxStopDelay, time.Duration(maxDelayShare*float64(grace)))
+}
