Drop log lines that are written after the log was closed

Noticed by the review: requests that are cut at the end of a stop may log after the log was closed, and the process panicked. Evidence: TestLinesAfterCloseAreDropped panicked before (send on closed channel).

--- a/coltsfootd/logging/async.go
+++ b/coltsfootd/logging/async.go
@@ -12,14 +12,17 @@
 // Async writes lines in the background, so that a stalled reader of the log never blocks the program. Lines that do not
 // fit into the queue are dropped and counted.
 type Async struct {
-	lines   chan []byte
-	done    chan struct{}
-	dropped atomic.Int64
+	lines    chan []byte
+	stopping chan struct{}
+	done     chan struct{}
+	dropped  atomic.Int64
 }
 
 // NewAsync returns a writer that writes to w in the background.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	a := &Async{
+		lines: make(chan []byte, maxQueuedLines), stopping: make(chan struct{}), done: make(chan struct{}),
+	}
 	go a.run(w)
 	return a
 }
@@ -34,19 +37,35 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines. Write must not be called afterwards.
+// Close writes the queued lines. Lines that are written afterwards are lost. It must be called once.
 func (a *Async) Close() error {
-	close(a.lines)
+	close(a.stopping)
 	<-a.done
 	return nil
 }
 
 func (a *Async) run(w io.Writer) {
 	defer close(a.done)
-	for line := range a.lines {
-		if dropped := a.dropped.Swap(0); dropped > 0 {
-			_, _ = fmt.Fprintf(w, "part=logging msg=\"log lines left out, the reader is slow\" count=%d\n", dropped)
+	for {
+		select {
+		case line := <-a.lines:
+			a.writeLine(w, line)
+		case <-a.stopping:
+			a.writeQueued(w)
+			return
 		}
-		_, _ = w.Write(line) // There is nowhere to report that the log can't be written.
 	}
 }
+
+func (a *Async) writeQueued(w io.Writer) {
+	for range len(a.lines) {
+		a.writeLine(w, <-a.lines)
+	}
+}
+
+func (a *Async) writeLine(w io.Writer, line []byte) {
+	if dropped := a.dropped.Swap(0); dropped > 0 {
+		_, _ = fmt.Fprintf(w, "part=logging msg=\"log lines left out, the reader is slow\" count=%d\n", dropped)
+	}
+	_, _ = w.Write(line) // There is nowhere to report that the log can't be written.
+}
--- a/coltsfootd/logging/logging_test.go
+++ b/coltsfootd/logging/logging_test.go
@@ -39,3 +39,14 @@
 		assert.Equal(t, line["msg"], want.msg)
 	}
 }
+
+// Guards against a process that crashes at its end because a request that was cut still writes a line.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	a := logging.NewAsync(&out)
+	_, _ = a.Write([]byte("before\n"))
+	assert.NilError(t, a.Close())
+	_, err := a.Write([]byte("after\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, out.String(), "before\n")
+}
