Answer 503 when tokens don't arrive before the timeout of a request

Noticed by the review: such a request was counted as disconnected and its caller, which still waits, got the internal status 499, which tells it not to retry. Evidence: TestWaitForTokensUntilTheTimeoutIsNotADisconnect failed before (callerGone in place of deadlineExceeded).

--- a/coltsfootd/forward/admission.go
+++ b/coltsfootd/forward/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"coltsfootusher.example/core/account"
 	"coltsfootusher.example/core/call"
@@ -64,6 +65,9 @@
 	}
 	if r.Limited {
 		if ok, retryAfter := a.Limiter.Admit(ctx, r.Account, r.Urgent); !ok {
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return call.ReasonDeadlineExceeded, 0
+			}
 			if ctx.Err() != nil {
 				return call.ReasonCallerGone, 0
 			}
--- a/coltsfootd/forward/admission_test.go
+++ b/coltsfootd/forward/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -98,3 +99,29 @@
 	// the calls can be served.
 	assert.Assert(t, float64(served) > 0.25*float64(sent), "%d of %d served", served, sent)
 }
+
+// slowLimiter answers when the request's context ends.
+type slowLimiter struct{}
+
+// Admit waits in vain.
+func (slowLimiter) Admit(ctx context.Context, _ account.Account, _ bool) (bool, clock.Millis) {
+	<-ctx.Done()
+	return false, 0
+}
+
+// Refund does nothing.
+func (slowLimiter) Refund(account.Account, bool) {}
+
+// Guards against answering a caller that still waits with a status that tells it not to retry, because the tokens of its account
+// didn't arrive before the timeout of the request.
+func TestWaitForTokensUntilTheTimeoutIsNotADisconnect(t *testing.T) {
+	a := forward.Admission{Clock: clock.NewFake(1), Sockets: enoughSockets{}, Limiter: slowLimiter{}}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	reason, _ := a.Admit(ctx, forward.AdmissionRequest{Limited: true})
+	assert.Equal(t, reason, call.ReasonDeadlineExceeded)
+	cancel()
+	gone, disconnect := context.WithCancel(t.Context())
+	disconnect()
+	reason, _ = a.Admit(gone, forward.AdmissionRequest{Limited: true})
+	assert.Equal(t, reason, call.ReasonCallerGone)
+}
