Announce readiness with the view that was applied

Noticed by the review: the published values were loaded twice, and a first view stored in between ended the process with a nil pointer.

--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -273,13 +273,17 @@
 	var applied *directory.View
 	announced := false
 	periodic.Run(ctx, reconfigureInterval, func(context.Context) {
-		if v := n.directory.View(); v != nil && v != applied {
+		v := n.directory.View()
+		if v == nil {
+			return
+		}
+		if v != applied {
 			applied = v
 			n.applyView(v)
 		}
 		if !announced && n.ready() {
 			announced = true
-			_ = level.Info(n.logger).Log("part", "node", "msg", "node is ready", "policy", applied.PolicyVersion)
+			_ = level.Info(n.logger).Log("part", "node", "msg", "node is ready", "policy", v.PolicyVersion)
 			n.directory.AnnouncePresence()
 		}
 	})
