--- a/coltsfootd/cmd/mesh.go
+++ b/coltsfootd/cmd/mesh.go
@@ -35,6 +35,11 @@
 
 // runMesh runs a node on the users' platform until it receives SIGTERM or SIGINT.
 func runMesh(path string, stdout io.Writer) error {
+	// A signal without a handler would end the process.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	settings, err := meshsetting.Load(path)
 	if err != nil {
 		return err
@@ -52,10 +57,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go func() {
 		for range reload {
 			n.Reload(meshsetting.Load(path))
