Bound requests that begin to wait while their node starts to stop

A request that reached the own gate between the two steps of the limit waited without it; the limit is now set twice, as it is for the gates of other nodes. Found by reading.

--- a/coltsfootd/mesh/stop.go
+++ b/coltsfootd/mesh/stop.go
@@ -34,11 +34,10 @@
 	_ = level.Info(n.logger).Log("part", "node", "msg", "node is stopping", "running", n.entryServer.Active()+n.peerServer.Active())
 	n.handler.CloseConnections()
 	n.handler.Sender.StopBy(answerBy)
-	n.runner.LimitSender(gate.AnySender, answerBy)
-	n.directory.AnnounceLeaving(answerBy - n.clock.Now())
+	n.limitWaits(answerBy)
 	time.Sleep(stopDelay(grace))
-	// A node that missed the first announcement must know before the requests of this one wait in vain.
-	n.directory.AnnounceLeaving(answerBy - n.clock.Now())
+	// Nodes that missed the first announcement, and requests that began to wait just then, must know in time.
+	n.limitWaits(answerBy)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	n.handler.RefuseCallers()
@@ -57,6 +56,12 @@
 	return nil
 }
 
+// limitWaits ends the waits at the gates, here and at other nodes, of requests whose responses can't be passed on by the time.
+func (n *Node) limitWaits(answerBy clock.Millis) {
+	n.runner.LimitSender(gate.AnySender, answerBy)
+	n.directory.AnnounceLeaving(answerBy - n.clock.Now())
+}
+
 // stopDelay returns the time for which a node with the grace period still accepts requests.
 func stopDelay(grace time.Duration) time.Duration {
 	return min(maxStopDelay, time.Duration(maxDelayShare*float64(grace)))
