Keep the schedule, the stop time and the waits at the gate in one place each

The tests of core/freshness had a copy of the schedule that the nodes use, so that a changed constant would not have failed them: both now use freshness.DefaultSchedule. A sender that doesn't stop has the stop time clock.Never in place of 0, which two functions took for a special case.

--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -30,11 +30,7 @@
 	platformSource = "platform"
 )
 
-// confirmationSchedule replaces readers that the platform turns away early enough for a change to be in force on all other nodes
-// within the operators' bound, and refreshes the confirmation of the policy several times within a lease of a few seconds.
-var confirmationSchedule = freshness.Schedule{
-	ReadEveryMs: 500, LateAskEveryMs: 1000, TakeoverMs: 800, RankStepMs: 60, LateTakeoverMs: 200,
-}
+var confirmationSchedule = freshness.DefaultSchedule()
 
 // Platform reads the values that the platform publishes.
 type Platform interface {
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -99,13 +99,15 @@
 	SenderConfig
 	randomMu sync.Mutex
 	statuses *targetStatuses
-	// stopBy is the time after which this node passes on no responses, because it stops; 0 while it doesn't.
+	// stopBy is the time after which this node passes on no responses, because it stops; clock.Never while it doesn't.
 	stopBy atomic.Int64
 }
 
 // NewSender returns a sender with the given dependencies.
 func NewSender(c SenderConfig) *Sender {
-	return &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger)}
+	s := &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger)}
+	s.stopBy.Store(int64(clock.Never))
+	return s
 }
 
 // Send sends the job until a target has answered it, it must not be retried, or no target is left.
@@ -121,7 +123,8 @@
 	for {
 		if !s.mayFinish(j.Class, j.ObjectiveMs) {
 			if last.Reply.Run == call.NotRun {
-				last.Reply = refuseLeaving()
+				last.Reply = refusal(call.ReasonLeaving, 0).Reply
+				last.Reply.RetryAfterMs = leavingRetryAfterMs
 			}
 			return s.finalResult(last, mayHaveRun)
 		}
--- a/coltsfootd/forward/stop.go
+++ b/coltsfootd/forward/stop.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
-	"coltsfootusher.example/core/dispatch"
 	"coltsfootusher.example/core/route"
 )
 
@@ -15,22 +13,11 @@
 // mayFinish reports whether a request can be sent now, or only so late that its response can't be passed on. An operation must be
 // able to end within its objective, or its outcome would be unknown.
 func (s *Sender) mayFinish(class route.Class, objective clock.Millis) bool {
-	stopBy := clock.Millis(s.stopBy.Load())
-	if stopBy == 0 {
-		return true
-	}
-	left := stopBy - s.Clock.Now()
+	left := clock.Millis(s.stopBy.Load()) - s.Clock.Now()
 	return left > 0 && (class == route.Lookup || left >= objective)
 }
 
 // deadline returns the time by which the response to the job must have arrived.
 func (s *Sender) deadline(j Job) clock.Millis {
-	if stopBy := clock.Millis(s.stopBy.Load()); stopBy > 0 {
-		return min(j.Deadline, stopBy)
-	}
-	return j.Deadline
-}
-
-func refuseLeaving() dispatch.Reply {
-	return dispatch.Reply{Reason: call.ReasonLeaving, Run: call.NotRun, RetryAfterMs: leavingRetryAfterMs}
+	return min(j.Deadline, clock.Millis(s.stopBy.Load()))
 }
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -61,6 +61,13 @@
 	LateTakeoverMs clock.Millis
 }
 
+// DefaultSchedule returns the schedule of the nodes. It replaces readers that the platform turns away early enough for a change
+// to be in force on all other nodes within the operators' bound, and refreshes the confirmation of the policy several times
+// within a lease of a few seconds.
+func DefaultSchedule() Schedule {
+	return Schedule{ReadEveryMs: 500, LateAskEveryMs: 1000, TakeoverMs: 800, RankStepMs: 60, LateTakeoverMs: 200}
+}
+
 const (
 	// lateRank is the first of the late ranks, which read the platform only if all before them fail. They ask their peers less
 	// often, so that the load on the peers of a large fleet stays low.
--- a/core/freshness/freshness_test.go
+++ b/core/freshness/freshness_test.go
@@ -23,9 +23,7 @@
 	assert.Equal(t, l.Age(3500), clock.Millis(100))
 }
 
-var schedule = freshness.Schedule{
-	ReadEveryMs: 500, LateAskEveryMs: 1000, TakeoverMs: 800, RankStepMs: 60, LateTakeoverMs: 200,
-}
+var schedule = freshness.DefaultSchedule()
 
 // Guards against a fleet without a reader after the first ranks have failed, and against all nodes reading at once.
 func TestNextRankReplacesAFailedReader(t *testing.T) {
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -1,10 +1,8 @@
 package gate
 
 import (
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
@@ -22,9 +20,6 @@
 	maxRetryAfterMs = 10_000
 )
 
-// AnySender stands for all senders of calls.
-const AnySender uint64 = 0
-
 // Request is a call that asks for admission to the target. IDs must be unique among the running and waiting calls.
 type Request struct {
 	ID      uint64
@@ -236,43 +231,6 @@
 	return g.dispatch(now, decisions)
 }
 
-// LimitDeadlines moves the deadlines of the waiting calls of a sender forward to the time after which it can't pass on their
-// responses, and refuses those that can no longer finish. AnySender stands for all senders.
-func (g *Gate) LimitDeadlines(sender uint64, deadline, now clock.Millis) []Decision {
-	for _, w := range g.queue.waiters {
-		if sender == AnySender || w.request.Sender == sender {
-			w.request.Deadline = min(w.request.Deadline, deadline)
-		}
-	}
-	return g.Tick(now)
-}
-
-// WaitingTargets returns the ids of the targets for which calls wait.
-func (g *Gate) WaitingTargets() []string {
-	targets := make(map[string]bool)
-	for _, w := range g.queue.waiters {
-		targets[w.request.Target] = true
-	}
-	return slices.Collect(maps.Keys(targets))
-}
-
-// RefuseWaiting refuses the waiting calls for the targets to which reasons gives one.
-func (g *Gate) RefuseWaiting(reasons map[string]call.Reason, now clock.Millis) []Decision {
-	var refused []*waiter
-	for _, w := range g.queue.waiters {
-		if reasons[w.request.Target] != "" {
-			refused = append(refused, w)
-		}
-	}
-	sortByArrival(refused)
-	var decisions []Decision
-	for _, w := range refused {
-		g.remove(w)
-		decisions = g.refuse(decisions, w.request, reasons[w.request.Target], now)
-	}
-	return g.dispatch(now, decisions)
-}
-
 // Load returns the current load, which is reported to callers.
 func (g *Gate) Load(now clock.Millis) call.Load {
 	limit := g.config.Slots
