--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -209,7 +209,7 @@
 	header    http.Header
 }
 
-func newFakeTarget(t *testing.T, id, service string) *fakeTarget {
+func newFakeTarget(t testing.TB, id, service string) *fakeTarget {
 	t.Helper()
 	tg := &fakeTarget{id: id, service: service, release: make(chan struct{})}
 	server := httptest.NewServer(tg)
@@ -313,13 +313,13 @@
 	client   *http.Client
 }
 
-func newFleet(t *testing.T, services ...string) *fleet {
+func newFleet(t testing.TB, services ...string) *fleet {
 	t.Helper()
 	return newFleetWith(t, func(*meshsetting.Settings) {}, services...)
 }
 
 // newFleetWith starts a fleet after change has adjusted the settings of each node.
-func newFleetWith(t *testing.T, change func(*meshsetting.Settings), services ...string) *fleet {
+func newFleetWith(t testing.TB, change func(*meshsetting.Settings), services ...string) *fleet {
 	t.Helper()
 	f := &fleet{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	f.platform = &fakePlatform{policy: testPolicy(), changed: make(chan struct{}), revision: 1}
@@ -337,7 +337,7 @@
 		settings = append(settings, s)
 		f.platform.targets = append(f.platform.targets, roster.Change{Name: tg.id, Revision: 1, VM: &vm.VM{
 			Name: tg.id, FailureDomain: "d1", Service: service, State: vm.Live, Slots: 8,
-			TargetAddress: tg.address, PeerAddress: s.PeerAddress, StartedMs: 1000,
+			TargetAddress: s.TargetAddress, PeerAddress: s.PeerAddress, StartedMs: 1000,
 		}})
 	}
 	for _, s := range settings {
@@ -349,7 +349,7 @@
 	return f
 }
 
-func (f *fleet) waitUntilReady(t *testing.T, i int) {
+func (f *fleet) waitUntilReady(t testing.TB, i int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if !f.ready(i) {
@@ -363,7 +363,7 @@
 	}, poll.WithTimeout(30*time.Second))
 }
 
-func (f *fleet) start(t *testing.T, s meshsetting.Settings) {
+func (f *fleet) start(t testing.TB, s meshsetting.Settings) {
 	t.Helper()
 	metrics := new(expvar.Map).Init()
 	n, err := mesh.New(s, f.platform, plainDialect{}, metrics, io.Discard)
@@ -415,7 +415,7 @@
 	nextPort.Store(rand.Int64N(portCount))
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for range portCount {
 		port := firstPort + nextPort.Add(1)%portCount
