Encode the messages between nodes with a faster JSON library

The context and the reply of a call were read and written with encoding/json: 1.5 us to write and 5.9 us to read both.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"encoding/json"
+	"github.com/segmentio/encoding/json"
 
 	"github.com/zeebo/errs"
 
