--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -111,7 +111,7 @@
 	s meshsetting.Settings, source directory.Platform, dialect Dialect, metrics *expvar.Map, logs io.Writer,
 ) (*Node, error) {
 	n := &Node{
-		settings: s, clock: boottime.Clock{}, incarnation: rand.Uint64() | 1,
+		settings: s, clock: boottime.New(), incarnation: rand.Uint64() | 1,
 		logger: logging.New(logs, s.LogFormat, s.LogLevel, s.NodeName),
 	}
 	logging.RedirectStandardLogger(n.logger)
