Find routes by their prefix instead of comparing all of them

Each request compared its path with the published routes in turn and copied each of them. Up to 1,400 routes are published at times.

An index by prefix is asked for the prefixes of the path that end at a segment, the longest first and none longer than the longest published one.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"strings"
 
 	"github.com/zeebo/errs"
@@ -51,7 +50,7 @@
 	vmsByService   map[string][]vm.VM
 	vmsByDomain    map[string][]vm.VM
 	servicesByName map[string]*service.Service
-	routesByLength []route.Route
+	routes         routeIndex
 }
 
 // WithSection returns a copy of the snapshot in which one section has the given version and value. On error, the snapshot is
@@ -121,10 +120,7 @@
 	for i := range s.Services.Services {
 		s.servicesByName[s.Services.Services[i].Name] = &s.Services.Services[i]
 	}
-	s.routesByLength = slices.Clone(s.Routes.Routes)
-	slices.SortStableFunc(s.routesByLength, func(a, b route.Route) int {
-		return len(b.Prefix) - len(a.Prefix)
-	})
+	s.routes = newRouteIndex(s.Routes.Routes)
 }
 
 func (s *Snapshot) buildVMIndexes() {
@@ -167,22 +163,12 @@
 	if strings.Contains(path, "/../") || strings.HasSuffix(path, "/..") {
 		return route.Route{}, false
 	}
-	for _, r := range s.routesByLength {
-		if r.MatchesPath(path) {
-			return r, true
-		}
-	}
-	return route.Route{}, false
+	return s.routes.find(path, func(*route.Route) bool { return true })
 }
 
 // RouteForHost returns the route with the longest prefix that matches the path, among the routes of the host or any host.
 func (s *Snapshot) RouteForHost(host, path string) (route.Route, bool) {
-	for _, r := range s.routesByLength {
-		if (r.Host == "" || r.Host == host) && r.MatchesPath(path) {
-			return r, true
-		}
-	}
-	return route.Route{}, false
+	return s.routes.find(path, func(r *route.Route) bool { return r.Host == "" || r.Host == host })
 }
 
 // VM returns the VM with the given name.
