Look up accounts without allocating the hash of the key

The hash of the key of each request was built as a string twice. It is written to a buffer on the stack now.

--- a/core/account/account.go
+++ b/core/account/account.go
@@ -33,10 +33,18 @@
 	Accounts []Account `json:"accounts"`
 }
 
+// KeyHashBytes is the length of the hash of a key.
+const KeyHashBytes = 2 * sha256.Size
+
 // HashKey returns the SHA-256 sum of a key in lower-case hex, the form in which keys are published.
 func HashKey(key string) string {
+	return string(AppendKeyHash(nil, key))
+}
+
+// AppendKeyHash appends the hash of a key to b. With a buffer of KeyHashBytes it does not allocate.
+func AppendKeyHash(b []byte, key string) []byte {
 	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+	return hex.AppendEncode(b, sum[:])
 }
 
 // Decode parses and validates the published value.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -142,7 +142,8 @@
 
 // AccountByKey returns the client account that owns the API key.
 func (s *Snapshot) AccountByKey(key string) (account.Account, bool) {
-	a, ok := s.accountsByHash[account.HashKey(key)]
+	var hash [account.KeyHashBytes]byte
+	a, ok := s.accountsByHash[string(account.AppendKeyHash(hash[:0], key))]
 	if !ok {
 		return account.Account{}, false
 	}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -75,3 +76,27 @@
 		assert.Equal(t, r.Service, want, path)
 	}
 }
+
+// Guards against a key that is not found under its published hash, and against one that is found after it was revoked.
+func TestAccountByKeyFollowsThePublishedHashes(t *testing.T) {
+	longKey := strings.Repeat("k", 200)
+	published := []account.Account{{ID: "a", KeyHashes: []string{account.HashKey("k1"), account.HashKey(longKey)}}}
+	s := fleet.NewSnapshot(1, nil, published, nil, nil)
+	for key, want := range map[string]bool{"k1": true, longKey: true, "k2": false, "": false} {
+		a, ok := s.AccountByKey(key)
+		assert.Equal(t, ok, want, key)
+		assert.Equal(t, a.ID == "a", want, key)
+	}
+	s = fleet.NewSnapshot(2, nil, []account.Account{{ID: "a", KeyHashes: []string{account.HashKey("k2")}}}, nil, nil)
+	_, ok := s.AccountByKey("k1")
+	assert.Assert(t, !ok)
+}
+
+func BenchmarkAccountByKey(b *testing.B) {
+	key := strings.Repeat("k", 32)
+	s := fleet.NewSnapshot(1, nil, []account.Account{{ID: "a", KeyHashes: []string{account.HashKey(key)}}}, nil, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.AccountByKey(key)
+	}
+}
