Read a body of announced length into a buffer of that length

The body of each response was read twice into a buffer that started at 512 bytes and grew.

A test covers responses that announce a body and have none, and bodies around the size that is buffered.

--- a/coltsfootd/upstream/pool.go
+++ b/coltsfootd/upstream/pool.go
@@ -148,7 +148,7 @@
 		}
 	}
 	var err error
-	if result.Body, err = io.ReadAll(io.LimitReader(response.Body, size+1)); err != nil {
+	if result.Body, err = readUpTo(response.Body, size+1, response.ContentLength); err != nil {
 		result.Close()
 		return nil, err
 	}
@@ -166,6 +166,20 @@
 	return result, nil
 }
 
+// readUpTo reads at most limit bytes of a body with the announced length, which is negative if none is.
+func readUpTo(body io.Reader, limit, announced int64) ([]byte, error) {
+	if body == http.NoBody {
+		// The response to a HEAD request announces the length of a body that it does not have.
+		return nil, nil
+	}
+	if announced < 0 || announced >= limit {
+		return io.ReadAll(io.LimitReader(body, limit))
+	}
+	b := make([]byte, announced)
+	_, err := io.ReadFull(body, b)
+	return b, err
+}
+
 // expectedBytes returns the number of bytes that are buffered of a body with the announced length, which is negative if none is.
 func (p *Pool) expectedBytes(length int64) int64 {
 	if length < 0 {
--- a/coltsfootd/upstream/upstream_test.go
+++ b/coltsfootd/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,3 +150,49 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(response.Body), "/a//b?c=%2f")
 }
+
+// Guards against waiting for a body that a response announces and does not have, and against a body that is cut or padded
+// because of the length that is announced.
+func TestBodyIsThatOfTheResponse(t *testing.T) {
+	const long = 5 << 10 // More than the pools of these tests buffer.
+	for name, c := range map[string]struct{ method, head, sent, want string }{
+		"HEAD":         {http.MethodHead, "Content-Length: 12\r\n", "", ""},
+		"not modified": {http.MethodGet, "Content-Length: 12\r\n", "", ""},
+		"announced":    {http.MethodGet, "Content-Length: 4\r\n", "body", "body"},
+		"empty":        {http.MethodGet, "Content-Length: 0\r\n", "", ""},
+		"chunked":      {http.MethodGet, "Transfer-Encoding: chunked\r\n", "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n", "body"},
+		"long":         {http.MethodGet, "Content-Length: 5120\r\n", strings.Repeat("b", long), strings.Repeat("b", long)},
+		"at the limit": {http.MethodGet, "Content-Length: 1024\r\n", strings.Repeat("b", 1024), strings.Repeat("b", 1024)},
+		"above it":     {http.MethodGet, "Content-Length: 1025\r\n", strings.Repeat("b", 1025), strings.Repeat("b", 1025)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			status := "200 OK"
+			if name == "not modified" {
+				status = "304 Not Modified"
+			}
+			pool := newPool(serveRaw(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				for {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nId: 1\r\n%s\r\n%s", status, c.head, c.sent)
+				}
+			}))
+			for range 2 {
+				r := request("1")
+				r.Method = c.method
+				response, err := pool.Do(t.Context(), r)
+				assert.NilError(t, err)
+				got, err := response.ReadBody(2 * long)
+				assert.NilError(t, err)
+				assert.Equal(t, string(got), c.want)
+				response.Close()
+			}
+			wantConns := int64(1)
+			if len(c.want) > 1<<10 {
+				wantConns = 2
+			}
+			assert.Equal(t, pool.Opened(), wantConns)
+		})
+	}
+}
