Send a request to a peer without copying its headers

The headers of each request were copied to add the context, and sorted to be written.

A request names one header for its receiver besides those that all receivers get, which are written as they come. A target is excluded from further attempts once its attempt has failed, not before it. The local target still gets a copy.

--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -137,13 +137,13 @@
 			return s.finalResult(last, mayHaveRun)
 		}
 		j.Resent = tried[v.Name]
-		excluded[v.Name], tried[v.Name] = true, true
 		j.Attempt = last.Attempts
 		reply, response := s.attempt(ctx, v, j, choice)
 		last = Result{Reply: reply, Response: response, Target: v.Name, Attempts: last.Attempts + 1}
 		if reply.OK() {
 			return last
 		}
+		excluded[v.Name], tried[v.Name] = true, true
 		now := s.Clock.Now()
 		if ctx.Err() != nil || now >= s.deadline(j) {
 			return s.finalResult(last, mayHaveRun || reply.Run != call.NotRun)
@@ -278,15 +278,17 @@
 }
 
 func (s *Sender) deliver(ctx context.Context, v vm.VM, j Job) (dispatch.Reply, *upstream.Response) {
-	request := &upstream.Request{Method: j.Method, URI: j.URI, Host: j.Host, Header: j.Header.Clone(), Body: j.Body}
+	request := &upstream.Request{Method: j.Method, URI: j.URI, Host: j.Host, Header: j.Header, Body: j.Body}
 	if v.PeerAddress == s.Address {
+		// The runner adds headers for the target, which another attempt must not contain.
+		request.Header = j.Header.Clone()
 		return s.LocalRunner.Run(ctx, j.Context, request)
 	}
 	encoded, err := dispatch.Encode(j.Context)
 	if err != nil {
 		return dispatch.Reply{Reason: call.ReasonInternalError, Run: call.NotRun}, nil
 	}
-	request.Header.Set(dispatch.ContextHeader, encoded)
+	request.Extra = upstream.HeaderField{Name: dispatch.ContextHeader, Value: encoded}
 	response, err := s.Peers.Get(v.PeerAddress).Do(ctx, request, j.Class == route.Lookup)
 	if err != nil {
 		return replyForError(ctx, err), nil
--- a/coltsfootd/upstream/message.go
+++ b/coltsfootd/upstream/message.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // Request is an HTTP request. The URI is sent unchanged.
@@ -13,12 +14,20 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Extra is sent besides Header and replaces a header with its name, so that a header for one receiver does not require a copy
+	// of those for all receivers. It is not sent if its name is empty.
+	Extra HeaderField
+	Body  []byte
 	// NewConn makes the pool open a connection. It is needed if the same request has been sent to the receiver before: a late copy
 	// of the earlier response has the same id as the response to this one.
 	NewConn bool
 }
 
+// HeaderField is a header with one value. Its name is canonical.
+type HeaderField struct {
+	Name, Value string
+}
+
 // write sends the request. Its header must not contain hop-by-hop headers.
 func (r *Request) write(w *bufio.Writer) error {
 	// bufio.Writer keeps its first error and returns it from Flush.
@@ -28,9 +37,7 @@
 	_, _ = w.WriteString(" HTTP/1.1\r\nHost: ")
 	_, _ = w.WriteString(r.Host)
 	_, _ = w.WriteString("\r\n")
-	if err := r.Header.Write(w); err != nil {
-		return err
-	}
+	r.writeHeader(w)
 	if len(r.Body) > 0 || sendsContentLength(r.Method) {
 		_, _ = w.WriteString("Content-Length: ")
 		_, _ = w.WriteString(strconv.Itoa(len(r.Body)))
@@ -41,6 +48,32 @@
 	return w.Flush()
 }
 
+// newlineReplacer keeps a value from ending its header, as http.Header.Write does.
+var newlineReplacer = strings.NewReplacer("\n", " ", "\r", " ")
+
+// writeHeader writes the headers in no particular order. Unlike http.Header.Write it neither sorts them nor checks their names,
+// which are constants or have been checked by the server that received them.
+func (r *Request) writeHeader(w *bufio.Writer) {
+	for name, values := range r.Header {
+		if name == r.Extra.Name {
+			continue
+		}
+		for _, value := range values {
+			writeHeaderField(w, HeaderField{Name: name, Value: value})
+		}
+	}
+	if r.Extra.Name != "" {
+		writeHeaderField(w, r.Extra)
+	}
+}
+
+func writeHeaderField(w *bufio.Writer, f HeaderField) {
+	_, _ = w.WriteString(f.Name)
+	_, _ = w.WriteString(": ")
+	_, _ = w.WriteString(newlineReplacer.Replace(f.Value))
+	_, _ = w.WriteString("\r\n")
+}
+
 // sendsContentLength reports whether requests with the method announce the length of their body even if it is zero.
 func sendsContentLength(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
--- a/coltsfootd/upstream/upstream_test.go
+++ b/coltsfootd/upstream/upstream_test.go
@@ -196,3 +196,40 @@
 		})
 	}
 }
+
+// Guards against headers that are lost, repeated or changed on the way, against a value that adds headers of its own, and against
+// the headers of one receiver in the request to the next one.
+func TestHeadersAreSentAsGiven(t *testing.T) {
+	received := make(chan http.Header, 1)
+	pool := newPool(serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			got, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			received <- got.Header
+			writeResponse(c, got.Header.Get("Id"), "")
+		}
+	}))
+	given := http.Header{
+		"Id": {"1"}, "Accept": {"a", "b"}, "Empty": {""}, "Claimed": {"by the caller"}, "Split": {"a\r\nInjected: b"},
+	}
+	for _, c := range []struct {
+		extra upstream.HeaderField
+		want  http.Header
+	}{
+		{upstream.HeaderField{}, http.Header{
+			"Id": {"1"}, "Accept": {"a", "b"}, "Empty": {""}, "Claimed": {"by the caller"}, "Split": {"a  Injected: b"},
+		}},
+		{upstream.HeaderField{Name: "Claimed", Value: "by the node"}, http.Header{
+			"Id": {"1"}, "Accept": {"a", "b"}, "Empty": {""}, "Claimed": {"by the node"}, "Split": {"a  Injected: b"},
+		}},
+	} {
+		before := given.Clone()
+		r := &upstream.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: given, Extra: c.extra}
+		_, err := pool.Do(t.Context(), r)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, <-received, c.want)
+		assert.DeepEqual(t, given, before)
+	}
+}
