Create the timer and the channel of a request only if it waits at the gate

A request that the gate starts at once got a context with a timer, a channel and an entry among the waiting requests as well.

Admission.Admit takes the decision of the gate directly, and derives the context from the deadline of the request if there is none. It also names the reason of a wait that the deadline has ended, which both of its callers did.

--- a/coltsfootd/gateway/admission.go
+++ b/coltsfootd/gateway/admission.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,20 +71,28 @@
 	a.deliver(change(a.gate, a.clock.Now()))
 }
 
-// Admit waits until the gate admits or refuses the request, or ctx ends.
+// Admit waits until the gate admits or refuses the request, its deadline passes or ctx ends.
 func (a *Admission) Admit(ctx context.Context, r gate.Request) gate.Decision {
-	decided := make(chan gate.Decision, 1)
 	a.mu.Lock()
 	a.nextID++
 	r.ID = a.nextID
+	now := a.clock.Now()
+	decisions := a.gate.Offer(r, now)
+	a.deliver(decisions)
+	if i := slices.IndexFunc(decisions, func(d gate.Decision) bool { return d.ID == r.ID }); i >= 0 {
+		a.mu.Unlock()
+		return decisions[i]
+	}
+	decided := make(chan gate.Decision, 1)
 	a.waiting[r.ID] = decided
-	a.deliver(a.gate.Offer(r, a.clock.Now()))
 	a.mu.Unlock()
-	select {
-	case d := <-decided:
-		return d
-	default:
-	}
+	ctx, cancel := context.WithTimeout(ctx, (r.Deadline - now).Duration())
+	defer cancel()
+	return a.wait(ctx, r.ID, decided)
+}
+
+// wait waits for the decision about a request in the queue.
+func (a *Admission) wait(ctx context.Context, id uint64, decided chan gate.Decision) gate.Decision {
 	select {
 	case a.callQueued <- struct{}{}:
 	default:
@@ -92,7 +102,11 @@
 		d.Waited = true
 		return d
 	case <-ctx.Done():
-		return a.cancel(r.ID, decided)
+		d := a.cancel(id, decided)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			d.Reason = call.ReasonDeadlineExceeded
+		}
+		return d
 	}
 }
 
--- a/coltsfootd/gateway/gateway.go
+++ b/coltsfootd/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -125,9 +124,6 @@
 	entered := g.Clock.Now()
 	d := g.Admission.Admit(waiting, g.gateRequest(c, entered, deadline))
 	if !d.Admitted {
-		if d.Reason == call.ReasonCallerGone && errors.Is(waiting.Err(), context.DeadlineExceeded) {
-			d.Reason = call.ReasonDeadlineExceeded
-		}
 		a := refuse(c, d.Reason)
 		a.Result.RetryAfterMs = d.RetryAfterMs
 		return a
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -151,9 +151,7 @@
 		return refuse(reason), nil
 	}
 	deadline := r.senderDeadlines.limit(c.Sender, received+c.TimeoutMs)
-	waiting, cancel := context.WithTimeout(ctx, (deadline - received).Duration())
-	defer cancel()
-	d := r.admit(waiting, c, received, deadline)
+	d := r.admit(ctx, c, received, deadline)
 	if !d.Admitted {
 		if d.Reason == call.ReasonTargetLimited {
 			r.status.countRefused()
@@ -195,14 +193,10 @@
 		// Refusing an inner call wastes the work of the request that made it, so inner calls have precedence.
 		class, depth = route.NonIdempotent, 1
 	}
-	d := r.Admission.Admit(ctx, gate.Request{
+	return r.Admission.Admit(ctx, gate.Request{
 		Account: c.Account, Class: class, Depth: depth, Arrival: now, Deadline: deadline, Target: c.Target,
 		Sender: c.Sender,
 	})
-	if d.Reason == call.ReasonCallerGone && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		d.Reason = call.ReasonDeadlineExceeded
-	}
-	return d
 }
 
 // runAtTarget sends an admitted request to the target.
