Reuse the request by which a connection reads its responses

http.ReadResponse needs a request for its method. It was allocated for each response, with 250 bytes.

--- a/coltsfootd/upstream/conn.go
+++ b/coltsfootd/upstream/conn.go
@@ -38,6 +38,8 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// request tells http.ReadResponse the method of the request, which determines whether the response has a body.
+	request http.Request
 	// idleSince and idleTimeout determine until when the connection may be reused.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -121,8 +123,9 @@
 // readResponse reads the headers of the next final response. Those of informational responses before it count towards the limit.
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.bytesLeft = c.maxHeaderBytes
+	c.request.Method = method
 	for range maxInformational + 1 {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &c.request)
 		if err != nil {
 			return nil, err
 		}
