Choose targets without allocating

Each choice allocated a list of candidates and copied the entry of each target, and the clock was read up to four times in a row.

The lists are kept in a pool, and a time that was just read is used again.

--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -101,25 +101,29 @@
 	statuses *targetStatuses
 	// stopBy is the time after which this node passes on no responses, because it stops; clock.Never while it doesn't.
 	stopBy atomic.Int64
+	// candidates holds the buffers (*[]balance.Candidate) of choices of targets.
+	candidates sync.Pool
 }
 
 // NewSender returns a sender with the given dependencies.
 func NewSender(c SenderConfig) *Sender {
 	s := &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger)}
+	s.candidates.New = func() any { return new([]balance.Candidate) }
 	s.stopBy.Store(int64(clock.Never))
 	return s
 }
 
 // Send sends the job until a target has answered it, it must not be retried, or no target is left.
 func (s *Sender) Send(ctx context.Context, j Job) Result {
-	s.RetryBudget.OnRequest(j.Service, j.Repeated, s.Clock.Now())
+	begin := s.Clock.Now()
+	s.RetryBudget.OnRequest(j.Service, j.Repeated, begin)
 	last := Result{Reply: dispatch.Reply{Reason: call.ReasonNoTarget, Run: call.NotRun}}
 	excluded := make(map[string]bool)
 	tried := make(map[string]bool)
 	// sent counts the targets that may have started the request, refusals the gates that did not admit it.
 	sent, refusals, limitRefusals := 0, 0, 0
 	mayHaveRun := false
-	waitUntil := s.Clock.Now() + maxTargetWait(j, s.Clock.Now())
+	waitUntil := begin + maxTargetWait(j, begin)
 	for {
 		if !s.mayFinish(j.Class, j.ObjectiveMs) {
 			if last.Reply.Run == call.NotRun {
@@ -195,9 +199,12 @@
 func (s *Sender) chooseUsableTarget(
 	view *directory.View, service string, excluded map[string]bool, usable func(address string) bool,
 ) (vm.VM, balance.Choice, bool) {
+	buffer, _ := s.candidates.Get().(*[]balance.Candidate)
+	defer s.candidates.Put(buffer)
+	candidates := (*buffer)[:0]
 	vms := view.VMsOfService(service)
-	candidates := make([]balance.Candidate, 0, len(vms))
-	for _, v := range vms {
+	for i := range vms {
+		v := &vms[i]
 		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
 			continue
 		}
@@ -207,6 +214,7 @@
 		}
 		candidates = append(candidates, c)
 	}
+	*buffer = candidates
 	choice, ok := s.Balancer.Choose(candidates, nil, s.Clock.Now())
 	if !ok {
 		return vm.VM{}, choice, false
@@ -256,12 +264,13 @@
 		load := reply.Load
 		result.Load = &load
 	}
-	s.Balancer.Finished(v.Name, result, s.Clock.Now())
-	s.statuses.record(lifetime(v), reply, s.Clock.Now())
+	end := s.Clock.Now()
+	s.Balancer.Finished(v.Name, result, end)
+	s.statuses.record(lifetime(v), reply, end)
 	s.Recorder.Record(decision.Decision{
-		AtMs: s.Clock.Now(), Part: decision.PartPassage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
+		AtMs: end, Part: decision.PartPassage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
 		Action: "request sent to target", Node: v.Name, Reason: reply.Reason, Attempt: j.Attempt,
-		WaitMs: clock.Millis(choice.WaitMs), FactAgeMs: choice.LoadAgeMs, ElapsedMs: s.Clock.Now() - now,
+		WaitMs: clock.Millis(choice.WaitMs), FactAgeMs: choice.LoadAgeMs, ElapsedMs: end - now,
 	})
 	return reply, response
 }
