Send no requests to failure domains that operators have evacuated

Operators have a key op/evacuate/DOMAIN for taking a failure domain out of service. Nodes ignored it and went on sending requests there.

With evacuationSeconds set, the reader reads the range op/ in place of the key op/config and watches the prefix in place of the key, so that the number of calls stays the same. core/evacuation keeps the set in the order of the store's history; nodes carry it in their messages and push changes like those of the policy. The origin excludes the targets of an evacuated domain, the gate refuses arriving and waiting requests for them with the reason domainEvacuated, and the load of a domain that is given back grows over a second. Without the setting, the store is read as before.

Tested: go test -race of core/evacuation, platform, coltsfootd/directory, coltsfootd/mesh, coltsfootd/forward, coltsfootd/localtarget, coltsfootd/meshsetting and coltsfootctl.

--- a/coltsfootctl/explanation/reason.go
+++ b/coltsfootctl/explanation/reason.go
@@ -22,6 +22,7 @@
 	call.ReasonDeadlineTooClose:      "the call could not finish before its deadline",
 	call.ReasonLeaving:               "the node or its target is leaving",
 	call.ReasonNoTarget:              "no target of the service accepts new requests",
+	call.ReasonDomainEvacuated:       "operators have evacuated the target's failure domain",
 	call.ReasonTargetDown:            "the target does not accept connections",
 	call.ReasonTargetFailed:          "the connection to the target broke during the call",
 	call.ReasonNodeUnreachable:       "the target's node did not answer",
--- a/coltsfootctl/status/status.go
+++ b/coltsfootctl/status/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -218,6 +219,9 @@
 			return err
 		}
 	}
+	if err := r.writeEvacuations(w); err != nil {
+		return err
+	}
 	for _, n := range r.UnappliedVersions {
 		if _, err := fmt.Fprintf(w, "%s did not apply %s version %d: %s\n", n.Node, n.Section, n.Version, n.Reason); err != nil {
 			return err
@@ -229,3 +233,23 @@
 	}
 	return nil
 }
+
+// writeEvacuations prints which failure domains are evacuated, and on how many of the nodes that answered.
+func (r Report) writeEvacuations(w io.Writer) error {
+	nodes := make(map[string]int)
+	for _, row := range r.Nodes {
+		if row.Status != nil {
+			for _, domain := range row.Status.EvacuatedDomains {
+				nodes[domain]++
+			}
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(nodes)) {
+		answered := len(r.Nodes) - r.Unreachable
+		_, err := fmt.Fprintf(w, "failure domain %s is evacuated on %d of %d nodes\n", domain, nodes[domain], answered)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -60,12 +60,16 @@
 	LeaseMs  clock.Millis
 	Clock    clock.Clock
 	Platform Platform
-	Peers    *peers.Table
+	// Evacuations reads the evacuated failure domains; nil if the node doesn't follow them.
+	Evacuations EvacuationPlatform
+	Peers       *peers.Table
 	// Target checks whether the local target serves requests.
 	Target TargetChecker
 	// OnLeave is called when a peer announces that it stops, with the time for which it still passes on responses.
 	OnLeave func(incarnation uint64, answersForMs clock.Millis)
-	Logger  log.Logger
+	// OnReturned is called when the evacuation of the node's own failure domain has ended, before requests use its targets again.
+	OnReturned func()
+	Logger     log.Logger
 }
 
 // TargetChecker checks the local target while its entry is missing from the list.
@@ -91,6 +95,8 @@
 	lease  freshness.Lease
 	policy *published.Policy
 	roster *roster.Roster
+	// evacuations is nil if the node doesn't follow them.
+	evacuations *evacuations
 	// targetsKnown is true once a whole list of targets was received.
 	targetsKnown bool
 	// epoch is the latest epoch of the platform's store that this node knows, or unknownEpoch.
@@ -144,6 +150,9 @@
 		random: rand.New(rand.NewPCG(c.Incarnation, uint64(c.Clock.Now()))),
 	}
 	d.confirmedAt.Store(int64(clock.Never))
+	if c.Evacuations != nil {
+		d.evacuations = newEvacuations()
+	}
 	return d
 }
 
@@ -200,6 +209,7 @@
 	if d.roster.RemoveExpired(now) {
 		d.updateView()
 	}
+	d.tickEvacuations(now)
 	nodes := d.nodes()
 	rank := d.rank(nodes)
 	age := d.confirmationAge(now)
@@ -245,9 +255,14 @@
 	return nodes.rank(d.Address, d.Peers.Usable)
 }
 
-// confirmationAge returns the time since the policy was confirmed or, if it never was, since other nodes were discovered.
+// confirmationAge returns the time since the policy and, if the node follows them, the evacuations were confirmed or, if they
+// never were, since other nodes were discovered.
 func (d *Directory) confirmationAge(now clock.Millis) clock.Millis {
-	if age := d.lease.Age(now); age != clock.Never {
+	age := d.lease.Age(now)
+	if d.evacuations != nil && age != clock.Never {
+		age = max(age, d.evacuations.age(now))
+	}
+	if age != clock.Never {
 		return age
 	}
 	return now - d.discoveredAt
@@ -259,4 +274,5 @@
 	metrics.Set("policyUnreadable", expvar.Func(func() any { return d.unreadable.Load() }))
 	metrics.Set("platformCalls", expvar.Func(d.calls.counts))
 	metrics.Set("targets", expvar.Func(func() any { return d.countTargets() }))
+	d.publishEvacuations(metrics)
 }
--- a/coltsfootd/directory/message.go
+++ b/coltsfootd/directory/message.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/evacuation"
 	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/roster"
@@ -25,6 +26,8 @@
 	Roster *roster.Delta     `json:"roster,omitempty"`
 	// ServingTarget is the id of the sender's target if it still serves although its entry has vanished from the list.
 	ServingTarget string `json:"vouched,omitempty"`
+	// Evacuations are the evacuated failure domains that the sender knows; nil if it doesn't follow them.
+	Evacuations *evacuation.Snapshot `json:"evacuations,omitempty"`
 }
 
 // Validate returns an error if a field has a value that no node sends.
@@ -34,6 +37,8 @@
 		return Error.New("message has a negative version, revision or age")
 	case m.Policy != nil && m.Policy.Version <= 0:
 		return Error.New("message has a policy without a version")
+	case m.Evacuations != nil && m.Evacuations.Validate() != nil:
+		return Error.Wrap(m.Evacuations.Validate())
 	case m.Roster == nil:
 		return nil
 	case !m.Roster.Position().Valid() || !m.Roster.Base().Valid() || m.Roster.LapseGraceMs < 0:
--- a/coltsfootd/directory/read.go
+++ b/coltsfootd/directory/read.go
@@ -111,8 +111,11 @@
 	d.readingPolicy = true
 	d.calls.policies.Add(1)
 	d.callPlatform(ctx, func(ctx context.Context) func(done clock.Millis) {
-		p, err := d.Platform.Policy(ctx)
-		return func(done clock.Millis) { d.finishPolicyRead(p, err, now, done) }
+		p, evacuations, err := d.readPolicy(ctx)
+		return func(done clock.Millis) {
+			d.applyEvacuationRead(evacuations, now, done)
+			d.finishPolicyRead(p, err, now, done)
+		}
 	})
 }
 
--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -39,6 +39,7 @@
 	if age := d.lease.Age(now); age != clock.Never {
 		m.AgeMs = age
 	}
+	m.Evacuations = d.evacuations.message(now)
 	return m
 }
 
@@ -106,16 +107,20 @@
 
 func (d *Directory) finishSync(address string, reply syncMessage, err error, sentAt, now clock.Millis) {
 	d.syncing = false
+	evacuationsConfirmed := false
 	if err == nil {
 		d.heardFromPeer = true
 		d.applyMessage(reply, address, now)
+		evacuationsConfirmed = d.confirmEvacuations(reply.Evacuations, sentAt)
 		if reply.AgeMs >= 0 {
 			// The peer measured its age after this request was sent, so counting back from sentAt never makes the confirmation
 			// newer than it is.
 			d.confirmFromPeer(reply, sentAt, address)
 		}
 	}
-	if err == nil && reply.PolicyVersion == d.policyVersion() && reply.AgeMs >= 0 && reply.AgeMs < confirmationSchedule.TakeoverMs {
+	policyConfirmed := err == nil && reply.PolicyVersion == d.policyVersion() &&
+		reply.AgeMs >= 0 && reply.AgeMs < confirmationSchedule.TakeoverMs
+	if policyConfirmed && evacuationsConfirmed {
 		d.syncAttempts = 0
 		d.syncAfter = now + confirmationSchedule.NextAskDelay(d.rank(d.nodes()), reply.AgeMs)
 		return
@@ -138,6 +143,7 @@
 	if m.Revision > 0 {
 		d.noteEpoch(m.Epoch, source, now)
 	}
+	d.applyEvacuationMessage(m.Evacuations, source, now)
 	if m.Policy != nil {
 		d.applyPolicy(*m.Policy, source)
 	}
--- a/coltsfootd/directory/view.go
+++ b/coltsfootd/directory/view.go
@@ -71,6 +71,8 @@
 	Bounds             published.CallerLimits
 	// Ranking chooses the owner of each account's token bucket among all listed nodes.
 	Ranking *quota.Ranking
+	// Evacuated holds the failure domains to whose targets no request may be sent.
+	Evacuated []string
 }
 
 // snapshot combines the policy in force with the list of targets. It reuses the current snapshot while the policy is unchanged,
@@ -84,14 +86,14 @@
 
 // updateView makes the values in force visible to request handling.
 func (d *Directory) updateView() {
-	if d.policy == nil || !d.targetsKnown {
+	if d.policy == nil || !d.targetsKnown || d.awaitsEvacuations(d.Clock.Now()) {
 		return
 	}
 	vms := d.roster.VMs()
 	v := &View{
 		Snapshot: d.snapshot(vms), Nodes: newNodes(vms, d.FailureDomain),
 		PolicyVersion: d.policy.Version, KeysRequired: d.policy.KeysRequired, Bounds: d.policy.Bounds,
-		AccountsIncomplete: d.policy.AccountsIncomplete,
+		AccountsIncomplete: d.policy.AccountsIncomplete, Evacuated: d.evacuatedDomains(),
 	}
 	v.Ranking = quota.NewRanking(v.All)
 	listed := make(map[string]string, len(v.All))
@@ -99,5 +101,6 @@
 		listed[other.PeerAddress] = other.FailureDomain
 	}
 	d.Peers.SetListed(listed)
+	d.noteEvacuations(v)
 	d.view.Store(v)
 }
--- a/coltsfootd/directory/watch.go
+++ b/coltsfootd/directory/watch.go
@@ -38,7 +38,14 @@
 	ctx, d.stopWatches = context.WithCancel(ctx)
 	d.watchedEpoch, d.watchesStartedAt = position.Epoch, d.Clock.Now()
 	go d.watchTargets(ctx, position)
-	go d.watchPolicy(ctx, position)
+	if d.evacuations == nil {
+		go d.watchPolicy(ctx, position)
+		return
+	}
+	if known := d.evacuations.set.Known(); known.Epoch == position.Epoch && known.Revision > 0 {
+		position = known
+	}
+	go d.watchPolicyAndEvacuations(ctx, position)
 }
 
 // replaceWatches ends watches that have not delivered a change which a read of the list has shown. They begin again with the next
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -134,7 +134,7 @@
 			continue
 		}
 		if !ok {
-			return s.finalResult(last, mayHaveRun)
+			return s.finalResult(s.evacuatedResult(last, j.Service), mayHaveRun)
 		}
 		j.Resent = tried[v.Name]
 		excluded[v.Name], tried[v.Name] = true, true
@@ -151,6 +151,9 @@
 		if reply.Reason == call.ReasonPoisonRequest {
 			return s.finalResult(last, mayHaveRun)
 		}
+		if reply.Reason == call.ReasonDomainEvacuated {
+			s.excludeDomain(j.Service, v.FailureDomain, excluded)
+		}
 		if reply.Reason == call.ReasonTargetLimited {
 			if limitRefusals++; limitRefusals < maxLimitRefusals && s.excludeLimited(j.Service, excluded) {
 				continue
@@ -198,7 +201,8 @@
 	vms := view.VMsOfService(service)
 	candidates := make([]balance.Candidate, 0, len(vms))
 	for _, v := range vms {
-		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
+		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) ||
+			view.IsEvacuated(v.FailureDomain) {
 			continue
 		}
 		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
@@ -219,7 +223,7 @@
 // than waiting.
 func (s *Sender) waitForTarget(ctx context.Context, j Job, until clock.Millis) bool {
 	now := s.Clock.Now()
-	if now >= until || len(s.Values.View().VMsOfService(j.Service)) == 0 {
+	if view := s.Values.View(); now >= until || len(usableTargets(view, j.Service)) == 0 {
 		return false
 	}
 	select {
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -49,6 +49,11 @@
 	Sockets    Sockets
 	Bodies     *body.Budget
 	CrashGuard CrashGuard
+	// FailureDomain is that of the local target.
+	FailureDomain string
+	// OnReturned is called when the target may get requests again after its failure domain was evacuated. If it is nil, the gate
+	// starts slowly.
+	OnReturned func()
 	Logger     log.Logger
 }
 
--- a/coltsfootd/localtarget/refusal.go
+++ b/coltsfootd/localtarget/refusal.go
@@ -16,6 +16,8 @@
 	switch {
 	case own.State == vm.Leaving || r.status.status(l).Leaving:
 		return call.ReasonLeaving
+	case r.evacuated(own):
+		return call.ReasonDomainEvacuated
 	case r.absentTargets.contains(target, r.Clock.Now()):
 		return call.ReasonNoTarget
 	default:
--- a/coltsfootd/mesh/gate.go
+++ b/coltsfootd/mesh/gate.go
@@ -16,12 +16,14 @@
 	// lookupShare is the share of a service's capacity that is kept for lookups of callers when calls of other targets
 	// could use all of it.
 	lookupShare = 0.15
+	// slowStartMs is the time in which the load of a target grows after the evacuation of its failure domain.
+	slowStartMs clock.Millis = 1000
 )
 
 // gateConfig returns the configuration of the gate for a target with the number of slots and a queue of at most maxQueue.
 func gateConfig(slots, maxQueue int) gate.Config {
 	return gate.Config{
 		Slots: slots, QueueLimit: min(slots*queuePerSlot, maxQueue), QueueTimeoutMs: queueTimeoutMs,
-		LookupShare: lookupShare, Enabled: true,
+		ColdStartMs: slowStartMs, LookupShare: lookupShare, Enabled: true,
 	}
 }
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -131,10 +131,15 @@
 		Memory: responses, Sockets: n.sockets,
 	})
 	n.health = localtarget.NewHealthProber(s.Service, dialect, n.targetPool)
+	evacuations, err := evacuationPlatform(s, source)
+	if err != nil {
+		return nil, err
+	}
 	n.directory = directory.New(directory.Config{
 		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: n.health, FailureDomain: s.FailureDomain,
 		Incarnation: n.incarnation,
 		LeaseMs:     s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Platform: source, Peers: n.peers,
+		Evacuations: evacuations, OnReturned: func() { n.runner.TargetReturned() },
 		OnLeave: func(incarnation uint64, answersForMs clock.Millis) {
 			n.runner.LimitSender(incarnation, n.clock.Now()+answersForMs)
 		},
@@ -166,7 +171,8 @@
 		Clock: n.clock, Dialect: dialect, Views: n.directory,
 		Admission: n.admission, Pool: n.targetPool, Recorder: n.recorder, Sockets: n.sockets,
 		Bodies: n.bodies, CrashGuard: n.crashGuard,
-		Logger: logging.WithPart(n.logger, "target"),
+		FailureDomain: s.FailureDomain,
+		Logger:        logging.WithPart(n.logger, "target"),
 	})
 	n.retryBudget = forward.NewServiceRetryBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
 	n.handler = forward.New(forward.Config{
@@ -340,12 +346,12 @@
 	return v != nil && n.directory.Fresh() && !n.leaving.Load() && !n.isolated(v)
 }
 
-// isolated reports whether this node reaches none of the live targets of some service. Callers and the local target's calls
-// then do better at other nodes.
+// isolated reports whether this node reaches none of the live targets of some service that may be used. Callers and the local
+// target's calls then do better at other nodes.
 func (n *Node) isolated(v *directory.View) bool {
 	reached := make(map[string]bool)
 	for _, other := range v.VMs.VMs {
-		if other.State != vm.Live {
+		if other.State != vm.Live || v.IsEvacuated(other.FailureDomain) {
 			continue
 		}
 		reached[other.Service] = reached[other.Service] || other.PeerAddress == n.settings.PeerAddress ||
--- a/coltsfootd/mesh/serve.go
+++ b/coltsfootd/mesh/serve.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net/http"
 
+	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/coltsfootd/peers"
 	"coltsfootusher.example/core/dispatch"
 )
@@ -31,6 +32,7 @@
 func (n *Node) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.status()) })
 	mux.HandleFunc("/explain", func(w http.ResponseWriter, r *http.Request) {
 		id := r.URL.Query().Get("request")
 		if id == "" {
@@ -42,6 +44,18 @@
 	return mux
 }
 
+// status returns the state of the node as operators see it.
+func (n *Node) status() operator.Status {
+	s := operator.Status{
+		Node: n.settings.NodeName, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Service: n.settings.Service,
+		Leaving: n.leaving.Load(), Ready: n.ready(), WatcherRank: -1, Load: n.admission.Load(),
+	}
+	if v := n.directory.View(); v != nil {
+		s.EvacuatedDomains = v.Evacuated
+	}
+	return s
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // Fails only if the client has disconnected.
--- a/coltsfootd/meshsetting/meshsetting.go
+++ b/coltsfootd/meshsetting/meshsetting.go
@@ -57,6 +57,9 @@
 	KeyLeaseSeconds Seconds `yaml:"keyLeaseSeconds"`
 	// ConfigSeconds is the time within which a new policy must be in force at every node.
 	ConfigSeconds Seconds `yaml:"configSeconds"`
+	// EvacuationSeconds is the time within which no node sends requests to an evacuated failure domain; 0 means that the node
+	// doesn't follow the evacuations.
+	EvacuationSeconds Seconds `yaml:"evacuationSeconds"`
 	// GraceSeconds is the time from the stop signal to the exit of the process.
 	GraceSeconds Seconds `yaml:"graceSeconds"`
 	// RetryShare and RetrySlack limit the retries of the whole fleet for a service within ten seconds: to a share of its
@@ -128,6 +131,9 @@
 	if s.MaxFiles < minMaxFiles {
 		return Error.New("maxFiles must be at least %d, got %d", minMaxFiles, s.MaxFiles)
 	}
+	if !(s.EvacuationSeconds >= 0) {
+		return Error.New("evacuationSeconds must not be negative, got %v", s.EvacuationSeconds)
+	}
 	if s.RetryShare < 0 || s.RetrySlack < 0 || s.MemoryMB < 0 || s.LogLinesPerSecond < 0 {
 		return Error.New("retryShare, retrySlack, memoryMB and logLinesPerSecond must not be negative")
 	}
--- a/coltsfootd/operator/operator.go
+++ b/coltsfootd/operator/operator.go
@@ -42,6 +42,8 @@
 	LastContactMs map[string]clock.Millis `json:"lastContactMs,omitempty"`
 	// LeavingPeers are the nodes that announced that they take no new work.
 	LeavingPeers []string `json:"leavingPeers,omitempty"`
+	// EvacuatedDomains are the failure domains to whose targets this node sends no requests.
+	EvacuatedDomains []string `json:"evacuatedDomains,omitempty"`
 	// Sections describe the published values in force and those that were not applied.
 	Sections []config.Status `json:"sections,omitempty"`
 	// ControlError is set if the control loop did not answer; the fields that come from it are then empty.
--- a/core/call/reason.go
+++ b/core/call/reason.go
@@ -25,6 +25,7 @@
 	ReasonDeadlineTooClose      Reason = "deadlineTooClose"
 	ReasonLeaving               Reason = "leaving"
 	ReasonNoTarget              Reason = "noTarget"
+	ReasonDomainEvacuated       Reason = "domainEvacuated"
 	ReasonTargetDown            Reason = "targetDown"
 	ReasonTargetFailed          Reason = "targetFailed"
 	ReasonNodeUnreachable       Reason = "nodeUnreachable"
@@ -71,6 +72,7 @@
 	ReasonDeadlineTooClose:      http.StatusServiceUnavailable,
 	ReasonLeaving:               http.StatusServiceUnavailable,
 	ReasonNoTarget:              http.StatusServiceUnavailable,
+	ReasonDomainEvacuated:       http.StatusServiceUnavailable,
 	ReasonTargetDown:            http.StatusBadGateway,
 	ReasonTargetFailed:          http.StatusBadGateway,
 	ReasonNodeUnreachable:       http.StatusBadGateway,
@@ -117,7 +119,7 @@
 	switch r {
 	case ReasonOverloaded, ReasonQueueTimeout, ReasonTargetLimited, ReasonLeaving, ReasonTargetDown, ReasonTargetFailed,
 		ReasonNodeUnreachable, ReasonAnswerMismatch, ReasonAnswerTruncated, ReasonAnswerOversized, ReasonNotReady,
-		ReasonSuspectElsewhere:
+		ReasonSuspectElsewhere, ReasonDomainEvacuated:
 		return true
 	default:
 		return false
