--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -26,6 +26,7 @@
 	"coltsfootusher.example/coltsfootd/meshsetting"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/dialect"
+	"coltsfootusher.example/core/evacuation"
 	"coltsfootusher.example/core/history"
 	"coltsfootusher.example/core/published"
 	"coltsfootusher.example/core/roster"
@@ -87,6 +88,9 @@
 	// revision is that of the list of targets.
 	revision int64
 	changed  chan struct{}
+	// evacuated holds the evacuated domains, evacuationReads counts the reads of them.
+	evacuated       []evacuation.Entry
+	evacuationReads atomic.Int64
 }
 
 var errUnavailable = errs.New("the platform is unavailable")
@@ -336,7 +340,7 @@
 		change(&s)
 		settings = append(settings, s)
 		f.platform.targets = append(f.platform.targets, roster.Change{Name: tg.id, Revision: 1, VM: &vm.VM{
-			Name: tg.id, FailureDomain: "d1", Service: service, State: vm.Live, Slots: 8,
+			Name: tg.id, FailureDomain: s.FailureDomain, Service: service, State: vm.Live, Slots: 8,
 			TargetAddress: tg.address, PeerAddress: s.PeerAddress, StartedMs: 1000,
 		}})
 	}
--- a/coltsfootd/meshsetting/meshsetting_test.go
+++ b/coltsfootd/meshsetting/meshsetting_test.go
@@ -56,3 +56,16 @@
 		})
 	}
 }
+
+// Guards against a platform without a bound for evacuations, whose template renders a null, and against a bound that is ignored.
+func TestEvacuationsAreOffWithoutABound(t *testing.T) {
+	for text, want := range map[string]meshsetting.Seconds{
+		"": 0, "evacuationSeconds: \n": 0, "evacuationSeconds: 0\n": 0, "evacuationSeconds: 5\n": 5,
+	} {
+		s, err := loadSettings(t, validSettings+text)
+		assert.NilError(t, err, "%q", text)
+		assert.Equal(t, s.EvacuationSeconds, want, "%q", text)
+	}
+	_, err := loadSettings(t, validSettings+"evacuationSeconds: -1\n")
+	assert.ErrorContains(t, err, "evacuationSeconds")
+}
