--- a/coltsfootd/directory/evacuation_test.go
+++ b/coltsfootd/directory/evacuation_test.go
@@ -185,25 +185,32 @@
 	return reader, other, platform
 }
 
-// The reads of the platform fail, the other node can't reach it at all, and its own requests to the reader are refused. Guards
-// against an evacuation that waits for the next read, or that other failure domains learn only when they ask.
-func TestWatchedEvacuationIsPushedToOtherDomains(t *testing.T) {
+// The other node can't reach the platform and its requests to the reader are refused; the reader's own reads succeed, so that it
+// asks nobody. Guards against an evacuation that other failure domains learn only when they ask.
+func TestEvacuationIsPushedToOtherDomains(t *testing.T) {
 	reader, other, platform := startTwoDomains(t)
-	// The watch must run before the reads fail.
-	platform.setEvacuated("x", true)
-	reader.waitForEvacuated(t, "x", true)
-	platform.readsDown.Store(true)
 	reader.cutOff.Store(true)
 	platform.setEvacuated("e", true)
-	reader.waitForEvacuated(t, "e", true)
 	other.waitForEvacuated(t, "e", true)
 	platform.setEvacuated("e", false)
-	reader.waitForEvacuated(t, "e", false)
 	other.waitForEvacuated(t, "e", false)
 	assert.Equal(t, other.returned.Load(), int64(1))
 	assert.Equal(t, reader.returned.Load(), int64(0))
 }
 
+// All reads of the platform fail. Guards against an evacuation, or its end, that waits for the next read.
+func TestWatchedEvacuationNeedsNoRead(t *testing.T) {
+	reader, _, platform := startTwoDomains(t)
+	// The watch must run before the reads fail.
+	platform.setEvacuated("x", true)
+	reader.waitForEvacuated(t, "x", true)
+	platform.readsDown.Store(true)
+	platform.setEvacuated("d", true)
+	reader.waitForEvacuated(t, "d", true)
+	platform.setEvacuated("d", false)
+	reader.waitForEvacuated(t, "d", false)
+}
+
 // An evacuation ends while the other domain gets no messages and its requests are refused. Guards against a withdrawal that is
 // lost with its push, and against a cut-off node that brings the evacuation back when it returns.
 func TestWithdrawalDuringACutReachesTheOtherDomainAfterIt(t *testing.T) {
--- a/core/evacuation/evacuation_test.go
+++ b/core/evacuation/evacuation_test.go
@@ -186,9 +186,24 @@
 	assert.Equal(t, len(s.Expire(1000+evacuation.RestoreHoldMs-1)), 0)
 	assert.Equal(t, len(s.Expire(1000+evacuation.RestoreHoldMs)), 1)
 	assert.Equal(t, len(late.Expire(1000+evacuation.RestoreHoldMs)), 1)
-	// A node that hasn't heard of the restore must not bring the evacuation back.
-	s.Merge(snapshot(at(1, 27), entry("a", 1, 26)), 1000+evacuation.RestoreHoldMs)
+	// A node that hasn't heard of the restore must not bring the evacuation back, not even to one that never knew it.
+	for _, set := range []*evacuation.Set{&s, &late} {
+		set.Merge(snapshot(at(1, 27), entry("a", 1, 26)), 1000+evacuation.RestoreHoldMs)
+		assert.Equal(t, len(set.Domains()), 0)
+	}
+}
+
+// Load: an evacuation that ended shortly before a restore, and a node that has missed its end. Guards against a hold of an
+// evacuation that operators had withdrawn.
+func TestWithdrawnEvacuationIsNotHeld(t *testing.T) {
+	var s evacuation.Set
+	s.ApplyRead(snapshot(at(1, 30)), 0)
+	s.ApplyRead(snapshot(at(2, 14)), 1000)
+	s.Merge(snapshot(at(1, 27), entry("a", 1, 26)), 1001)
 	assert.Equal(t, len(s.Domains()), 0)
+	// One that is later than all that the node had known may have been in force.
+	s.Merge(snapshot(at(1, 32), entry("a", 1, 31)), 1002)
+	assert.DeepEqual(t, s.Domains(), []string{"a"})
 }
 
 // Load: the domain's key is written again within the hold. Guards against an evacuation that lapses with the hold although
@@ -227,8 +242,10 @@
 	s.Apply(evacuation.Changes{Base: at(1, 20), Events: []evacuation.Event{
 		{Domain: "a", Position: at(1, 21), Ended: true}, {Domain: "b", Position: at(1, 22)},
 	}})
+	// Another node's set that is complete up to the gap doesn't end it.
+	s.Merge(snapshot(at(1, 15), entry("a", 1, 9)), 0)
 	assert.DeepEqual(t, s.Domains(), []string{"a", "b"})
-	assert.Equal(t, s.Known(), at(1, 10))
+	assert.Equal(t, s.Known(), at(1, 15))
 	s.ApplyRead(snapshot(at(1, 30), entry("b", 1, 22)), 0)
 	s.Apply(evacuation.Changes{Base: at(1, 10), Events: []evacuation.Event{
 		{Domain: "a", Position: at(1, 25)}, {Domain: "b", Position: at(1, 26), Ended: true},
