--- a/coltsfootd/directory/directory.go
+++ b/coltsfootd/directory/directory.go
@@ -62,7 +62,9 @@
 	Platform Platform
 	// Evacuations reads the evacuated failure domains; nil if the node doesn't follow them.
 	Evacuations EvacuationPlatform
-	Peers       *peers.Table
+	// EvacuationMs is the time within which evacuations take effect.
+	EvacuationMs clock.Millis
+	Peers        *peers.Table
 	// Target checks whether the local target serves requests.
 	Target TargetChecker
 	// OnLeave is called when a peer announces that it stops, with the time for which it still passes on responses.
--- a/coltsfootd/directory/evacuation.go
+++ b/coltsfootd/directory/evacuation.go
@@ -23,6 +23,12 @@
 	evacuationWaitMs clock.Millis = 3000
 	// evacuationLinesPerSecond limits the log lines about evacuations that change all the time.
 	evacuationLinesPerSecond = 20
+	// isolationGraceMs is the time, beyond that in which evacuations take effect, for which a node that reaches nobody uses its own
+	// target. Operators allow it to machines that can't reach the platform.
+	isolationGraceMs clock.Millis = 5000
+	// minOthersForIsolation is the number of other listed nodes from which on a node that reaches none of them counts as cut off.
+	// With fewer, all others may have ended.
+	minOthersForIsolation = 3
 	// unknownAgeMs stands for the age of evacuations that were never confirmed.
 	unknownAgeMs clock.Millis = -1
 )
@@ -47,6 +53,8 @@
 	// neededAt is the time at which a view lacked only the evacuations; 0 before that.
 	neededAt clock.Millis
 	lines    logging.Throttle
+	// isolated is true while the node may have missed the evacuation of its own domain.
+	isolated bool
 	// allEvacuated is true while no failure domain with targets may be used.
 	allEvacuated bool
 }
@@ -167,11 +175,37 @@
 		d.logEvacuations(expired, "hold after restore has ended", now)
 		d.updateView()
 	}
-	if d.view.Load() == nil {
+	isolated := d.isolated(now)
+	if isolated != d.evacuations.isolated {
+		d.evacuations.isolated = isolated
+		_ = level.Warn(d.Logger).Log(
+			"msg", "node has been cut off for so long that its domain may be evacuated, or is in contact again", "cutOff", isolated)
+	}
+	if v := d.view.Load(); v == nil || v.cutOff != isolated {
 		d.updateView()
 	}
 }
 
+// isolated reports whether the node has reached neither the platform nor any other node for so long that operators rely on an
+// evacuation of its domain. While only the platform is away, other nodes can be reached, and nobody can write a key.
+func (d *Directory) isolated(now clock.Millis) bool {
+	age := d.evacuations.age(now)
+	if age == clock.Never || age < d.EvacuationMs+isolationGraceMs {
+		return false
+	}
+	others := 0
+	for _, address := range d.nodes().All {
+		if address == d.Address {
+			continue
+		}
+		if d.Peers.Reachable(address) {
+			return false
+		}
+		others++
+	}
+	return others >= minOthersForIsolation
+}
+
 // awaitsEvacuations reports whether the node has just started and must not serve before it knows the evacuations.
 func (d *Directory) awaitsEvacuations(now clock.Millis) bool {
 	if d.evacuations == nil || d.view.Load() != nil || d.evacuations.set.Known() != (history.Position{}) {
@@ -192,7 +226,11 @@
 	if d.evacuations == nil {
 		return nil
 	}
-	return d.evacuations.set.Domains()
+	domains := d.evacuations.set.Domains()
+	if d.evacuations.isolated && !slices.Contains(domains, d.FailureDomain) {
+		domains = append(domains, d.FailureDomain)
+	}
+	return domains
 }
 
 // noteEvacuations compares the next view with the one in force, before requests use it.
--- a/coltsfootd/directory/evacuation_test.go
+++ b/coltsfootd/directory/evacuation_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
@@ -138,7 +139,7 @@
 	n := &evacuationNode{}
 	n.Directory = directory.New(directory.Config{
 		Address: address, FailureDomain: domain, Incarnation: incarnation, LeaseMs: 3000, Clock: c, Platform: platform,
-		Evacuations: platform, OnReturned: func() { n.returned.Add(1) },
+		Evacuations: platform, EvacuationMs: 5000, OnReturned: func() { n.returned.Add(1) },
 		Peers:  peers.New("127.0.0.1", c, socket.NewBudget(1000), nil, log.NewNopLogger()),
 		Logger: log.NewNopLogger(), TargetAddress: targetAddress, Target: healthyTarget{},
 	})
@@ -313,3 +314,54 @@
 	assert.Equal(t, platform.reads.Load(), int64(0))
 	assert.Assert(t, platform.policyReads.Load() > 0)
 }
+
+// A node loses the platform and all other nodes. Guards against requests to its target when operators may have evacuated its
+// domain meanwhile, and against a target that stays unused after the cut, or while only the platform is away.
+func TestNodeThatReachesNobodyStopsUsingItsTarget(t *testing.T) {
+	for name, reachable := range map[string]bool{"isolated": false, "platform away": true} {
+		t.Run(name, func(t *testing.T) {
+			first, _ := newAddresses(t)
+			targets := []roster.Change{targetOf("t1", first, 1, 1, 1, vm.Live)}
+			for _, other := range []string{"t2", "t3", "t4"} {
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}))
+				t.Cleanup(s.Close)
+				if !reachable {
+					s.Close()
+				}
+				targets = append(targets, targetOf(other, strings.TrimPrefix(s.URL, "http://"), 1, 1, 1, vm.Live))
+			}
+			platform := newEvacuatingPlatform(1, 9, targets...)
+			c := &manualClock{}
+			c.now.Store(1_000_000)
+			n := runEvacuationNode(t, c, first, "d", 1, platform)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				c.now.Add(100)
+				if n.View() == nil {
+					return poll.Continue("no view yet")
+				}
+				return poll.Success()
+			}, poll.WithTimeout(waitLimit))
+			platform.down.Store(true)
+			for range 300 {
+				c.now.Add(100)
+				time.Sleep(5 * time.Millisecond)
+			}
+			if reachable {
+				assert.Assert(t, !n.View().IsEvacuated("d"))
+				return
+			}
+			n.waitForEvacuated(t, "d", true)
+			platform.down.Store(false)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				c.now.Add(100)
+				if n.View().IsEvacuated("d") {
+					return poll.Continue("the target is not used")
+				}
+				return poll.Success()
+			}, poll.WithTimeout(waitLimit))
+			assert.Equal(t, n.returned.Load(), int64(1))
+		})
+	}
+}
--- a/coltsfootd/directory/view.go
+++ b/coltsfootd/directory/view.go
@@ -73,6 +73,8 @@
 	Ranking *quota.Ranking
 	// Evacuated holds the failure domains to whose targets no request may be sent.
 	Evacuated []string
+	// cutOff is true if the node's own domain counts as evacuated because the node reaches nobody.
+	cutOff bool
 }
 
 // snapshot combines the policy in force with the list of targets. It reuses the current snapshot while the policy is unchanged,
@@ -101,6 +103,7 @@
 		listed[other.PeerAddress] = other.FailureDomain
 	}
 	d.Peers.SetListed(listed)
+	v.cutOff = d.evacuations != nil && d.evacuations.isolated
 	d.noteEvacuations(v)
 	d.view.Store(v)
 }
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -139,7 +139,7 @@
 		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: n.health, FailureDomain: s.FailureDomain,
 		Incarnation: n.incarnation,
 		LeaseMs:     s.KeyLeaseSeconds.Millis() - leaseMarginMs, Clock: n.clock, Platform: source, Peers: n.peers,
-		Evacuations: evacuations, OnReturned: func() { n.runner.TargetReturned() },
+		Evacuations: evacuations, EvacuationMs: s.EvacuationSeconds.Millis(), OnReturned: func() { n.runner.TargetReturned() },
 		OnLeave: func(incarnation uint64, answersForMs clock.Millis) {
 			n.runner.LimitSender(incarnation, n.clock.Now()+answersForMs)
 		},
