Check evacuations in a soak with overlapping faults

An evacuation must hold while nodes and links fail and the store is restored, which no test showed with real processes. The soak can now evacuate one domain after the other and checks that no call runs there that was sent once the evacuation had to be in force. Faults that keep the store from working for seconds are left out of these runs, since nothing could be checked then.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -53,6 +53,7 @@
 	found = append(found, h.checkQuota(runs)...)
 	found = append(found, h.checkLimits()...)
 	found = append(found, h.checkLeaving(runs)...)
+	found = append(found, h.checkEvacuations(runs)...)
 	return append(found, h.checkDenied()...)
 }
 
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -42,6 +42,7 @@
 		"a target's call bears its service":             foreignInner,
 		"a target gets no more than the limit":          overLimit,
 		"a target that says it leaves":                  ranWhileLeaving,
+		"an evacuated domain gets no calls":             ranInEvacuatedDomain,
 	} {
 		h := kept()
 		spoil(h)
@@ -124,3 +125,26 @@
 	late.ended, run.At = late.sent.Add(time.Millisecond), late.sent
 	h.calls, h.runs = append(h.calls, late), append(h.runs, run)
 }
+
+func ranInEvacuatedDomain(h *history) {
+	h.domainOf = func(string) string { return "domain-1" }
+	at := h.calls[0].sent
+	h.evacuations = []evacuation{{domain: "domain-1", from: at.Add(-evacuationTime - unservedTime - time.Millisecond)}}
+}
+
+// Guards against a check that blames calls which were sent in time, after the end, elsewhere, or soon after the store was away.
+func TestCallsAreAllowedUntilAnEvacuationIsInForce(t *testing.T) {
+	for name, change := range map[string]func(h *history, e *evacuation){
+		"in time":   func(_ *history, e *evacuation) { e.from = e.from.Add(time.Second) },
+		"ended":     func(h *history, e *evacuation) { e.until = h.runs[0].At },
+		"elsewhere": func(_ *history, e *evacuation) { e.domain = "domain-2" },
+		"store away": func(h *history, e *evacuation) {
+			h.troubles = []period{{from: e.from.Add(time.Second), until: e.from.Add(2 * time.Second)}}
+		},
+	} {
+		h := kept()
+		ranInEvacuatedDomain(h)
+		change(h, &h.evacuations[0])
+		assert.Equal(t, len(h.check()), 0, name)
+	}
+}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -145,10 +145,12 @@
 // has lost.
 func (s subject) restoreStore() error {
 	f := s.fleet
+	from := time.Now()
 	f.store.SetFault(platformtest.Fault{Refuse: true})
 	s.wait(s.length / 4)
 	f.store.Restore(time.Duration(s.random % uint64(oldestCopy)))
 	f.store.SetFault(platformtest.Fault{})
+	f.history.storeTroubled(from)
 	if err := f.publishAgain(); err != nil {
 		return err
 	}
@@ -210,6 +212,9 @@
 }
 
 func (s subject) trouble(t platformtest.Fault) error {
+	if s.fleet.Evacuate {
+		return nil // The store would hardly ever work for long enough to check an evacuation.
+	}
 	s.fleet.store.SetFault(t)
 	s.wait(longFactor * s.length)
 	s.fleet.store.SetFault(platformtest.Fault{})
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -36,6 +36,8 @@
 
 	policyMu sync.Mutex
 	policy   policy
+	// evacuated is the domain that the operator has evacuated, lastEvacuated the one before; "" for none.
+	evacuated, lastEvacuated string
 
 	reportMu sync.Mutex
 	reported []violation
@@ -44,6 +46,7 @@
 // startFleet starts everything and waits until all nodes are ready.
 func startFleet(ctx context.Context, o Options) (*fleet, error) {
 	f := &fleet{Options: o, store: platformtest.NewStore(), network: link.NewNetwork(), policy: policy{version: firstVersion}}
+	f.history.domainOf = f.domainOf
 	// Runs at the same time must not share addresses, so the block is not drawn from the seed.
 	block := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))
 	if err := f.startStore(block + ".1:" + fmt.Sprint(storePort)); err != nil {
@@ -146,7 +149,10 @@
 func (f *fleet) publishAgain() error {
 	f.policyMu.Lock()
 	defer f.policyMu.Unlock()
-	return Error.Wrap(f.store.PublishPolicy(f.policy.published()))
+	if err := f.store.PublishPolicy(f.policy.published()); err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(f.writeEvacuationAgain())
 }
 
 // removeDeadEntries removes the entries of targets that have been replaced, which a restored store lists again.
--- a/standin/soak/history.go
+++ b/standin/soak/history.go
@@ -47,6 +47,11 @@
 	runs        []platformtest.Run
 	withdrawals []withdrawal
 	statements  []statement
+	evacuations []evacuation
+	// troubles are the times in which the store was away before it returned from a copy.
+	troubles []period
+	// domainOf returns the domain of a target.
+	domainOf func(target string) string
 	// nodeEnds holds the times at which processes of nodes ended.
 	nodeEnds []time.Time
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -31,6 +31,8 @@
 	Nodes int
 	// Duration is the time in which faults begin.
 	Duration time.Duration
+	// Evacuate makes operators evacuate domains during the run.
+	Evacuate bool
 	// Log takes the faults as they are played; nil for none.
 	Log io.Writer
 }
@@ -68,8 +70,14 @@
 		group.Go(func() { f.load(sending, v) })
 	}
 	group.Go(func() { f.operate(sending) })
+	evacuating, stopEvacuating := context.WithCancel(sending)
+	defer stopEvacuating()
+	if o.Evacuate {
+		group.Go(func() { f.evacuateDomains(evacuating) })
+	}
 	faults := schedule(o.Seed, o.Nodes, o.Duration)
 	f.play(ctx, faults)
+	stopEvacuating()
 	begin := time.Now()
 	f.awaitRecovery(ctx)
 	recovered := time.Since(begin)
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -68,6 +68,9 @@
 		"readinessAddress": v.address(readinessPort), "operatorPort": operatorPort, "targetAddress": v.address(targetPort),
 		"platformAddress": v.address(storePort), "keyLeaseSeconds": revokeTime.Seconds(), "graceSeconds": graceTime.Seconds(),
 	}
+	if v.fleet.Evacuate {
+		settings["evacuationSeconds"] = evacuationTime.Seconds()
+	}
 	raw, err := yaml.Marshal(settings)
 	if err != nil {
 		return Error.Wrap(err)
