Leave an empty set of evacuations out of sync requests

Each sync request carried the set, 67 bytes also where no domain is evacuated. The end of an evacuation is learned from replies, so that only a node that knows of one has to send it with a request.

Tested: go test -race ./coltsfootd/directory.

--- a/coltsfootd/directory/sync.go
+++ b/coltsfootd/directory/sync.go
@@ -56,6 +56,9 @@
 	}
 	d.syncing = true
 	message := d.ownState(now)
+	if message.Evacuations != nil && len(message.Evacuations.Entries) == 0 {
+		message.Evacuations = nil // The end of an evacuation is learned from replies, which keeps requests short.
+	}
 	go func() {
 		var reply syncMessage
 		err := d.Peers.Call(ctx, address, SyncPath, syncTimeout, message, &reply)
