--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		if !ok {
-			return s.finalResult(last, mayHaveRun)
+			return s.finalResult(s.evacuatedResult(last, j.Service), mayHaveRun)
 		}
 		j.Resent = tried[v.Name]
 		j.Attempt = last.Attempts
@@ -155,6 +155,9 @@
 		if reply.Reason == call.ReasonPoisonRequest {
 			return s.finalResult(last, mayHaveRun)
 		}
+		if reply.Reason == call.ReasonDomainEvacuated {
+			s.excludeDomain(j.Service, v.FailureDomain, excluded)
+		}
 		if reply.Reason == call.ReasonTargetLimited {
 			if limitRefusals++; limitRefusals < maxLimitRefusals && s.excludeLimited(j.Service, excluded) {
 				continue
@@ -205,7 +208,8 @@
 	vms := view.VMsOfService(service)
 	for i := range vms {
 		v := &vms[i]
-		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
+		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) ||
+			view.IsEvacuated(v.FailureDomain) {
 			continue
 		}
 		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
@@ -227,7 +231,7 @@
 // than waiting.
 func (s *Sender) waitForTarget(ctx context.Context, j Job, until clock.Millis) bool {
 	now := s.Clock.Now()
-	if now >= until || len(s.Values.View().VMsOfService(j.Service)) == 0 {
+	if view := s.Values.View(); now >= until || len(usableTargets(view, j.Service)) == 0 {
 		return false
 	}
 	select {
