Limit the requests to a cold target at the gate beside it

A target that has just started is slow and crashes under its usual load. Nothing held requests back from it: the gate only knew the limit that a target names itself.

The node beside the target now tracks whether it is cold (core/warmup.Tracker), from the list, health checks in doubt, lost and refused connections, and puts the lower of the published allowance and the target's own limit into force. Requests that were admitted but not sent when the target turns cold are withdrawn. Origins learn the state from the list and from replies and send a cold target their share while a warm one is usable. Without a published allowance, nothing changes.

--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -99,13 +99,14 @@
 	SenderConfig
 	randomMu sync.Mutex
 	statuses *targetStatuses
+	cold     *coldTargets
 	// stopBy is the time after which this node passes on no responses, because it stops; clock.Never while it doesn't.
 	stopBy atomic.Int64
 }
 
 // NewSender returns a sender with the given dependencies.
 func NewSender(c SenderConfig) *Sender {
-	s := &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger)}
+	s := &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger), cold: newColdTargets(c.Logger, c.Incarnation)}
 	s.stopBy.Store(int64(clock.Never))
 	return s
 }
@@ -197,10 +198,14 @@
 ) (vm.VM, balance.Choice, bool) {
 	vms := view.VMsOfService(service)
 	candidates := make([]balance.Candidate, 0, len(vms))
+	spareCold := s.sparesCold(vms, usable)
 	for _, v := range vms {
 		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
 			continue
 		}
+		if spareCold && !s.cold.due(v, s.Clock.Now()) {
+			continue
+		}
 		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
 		if v.FailureDomain != s.FailureDomain {
 			c.NetworkDelayMs = crossDomainDelayMs
@@ -244,6 +249,12 @@
 	now := s.Clock.Now()
 	j.Target, j.TargetStatus = v.Name, s.statuses.get(lifetime(v))
 	j.Sender, j.TimeoutMs = s.Incarnation, max(0, s.deadline(j)-now)
+	interval := s.coldInterval(j.Service)
+	if interval > 0 {
+		published, _ := s.Values.View().Service(j.Service)
+		j.ColdPerSecond = published.ColdPerSecond
+		s.cold.sent(v, interval, now)
+	}
 	s.Balancer.Started(v.Name, now)
 	start := time.Now()
 	reply, response := s.deliver(ctx, v, j)
@@ -258,6 +269,9 @@
 	}
 	s.Balancer.Finished(v.Name, result, s.Clock.Now())
 	s.statuses.record(lifetime(v), reply, s.Clock.Now())
+	if interval > 0 {
+		s.cold.replied(v, reply, interval, s.Clock.Now())
+	}
 	s.Recorder.Record(decision.Decision{
 		AtMs: s.Clock.Now(), Part: decision.PartPassage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
 		Action: "request sent to target", Node: v.Name, Reason: reply.Reason, Attempt: j.Attempt,
--- a/coltsfootd/localtarget/health.go
+++ b/coltsfootd/localtarget/health.go
@@ -57,6 +57,7 @@
 	h.countRequest()
 	response, err := h.pool.Do(ctx, &upstream.Request{
 		Method: http.MethodGet, URI: published.HealthPath, Host: h.pool.Address(), Header: http.Header{},
+		NewConn: true, Epoch: everyEpoch,
 	})
 	if err != nil {
 		return dialect.HealthAnswer{}, err
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -49,7 +49,9 @@
 	Sockets    Sockets
 	Bodies     *body.Budget
 	CrashGuard CrashGuard
-	Logger     log.Logger
+	// Health checks the target when its state is in doubt.
+	Health *HealthProber
+	Logger log.Logger
 }
 
 // CrashGuard identifies requests that crash the target.
@@ -71,6 +73,8 @@
 	senderDeadlines senderDeadlines
 	retries         retryGauge
 	status          *statusMonitor
+	limits          rateLimits
+	warmup          *warmupMonitor
 	// lastInnerRefusal is the time of the latest refusal of an inner call of the target.
 	lastInnerRefusal atomic.Int64
 }
@@ -79,22 +83,20 @@
 func New(c Config) *Runner {
 	r := &Runner{Config: c}
 	r.status = newStatusMonitor(c.Logger, r.applyLimit, c.Clock.Now())
+	r.warmup = newWarmupMonitor(c.Logger, c.Clock.Now())
+	c.Pool.OnLost(r.idleConnectionsLost)
 	return r
 }
 
 // applyLimit limits the requests that the gate starts per second to what the target accepts.
 func (r *Runner) applyLimit(s targetstatus.Status) {
-	r.Admission.Update(func(g *gate.Gate, now clock.Millis) []gate.Decision {
-		if s.Limited {
-			return g.SetRateLimit(s.LimitPerSecond, now)
-		}
-		return g.RemoveRateLimit(now)
-	})
+	r.applyLimits(func(l *rateLimits) { l.stated = s })
 }
 
 // Publish exports the counters and the status of the target, whose id target returns, as metrics.
 func (r *Runner) Publish(metrics *expvar.Map, target func() string) {
 	r.status.publish(metrics, func() targetstatus.Lifetime { return r.lifetime(target()) })
+	r.warmup.publish(metrics, r.Clock.Now)
 }
 
 // listed returns the target's entry in the target list, or an empty one and false if the list does not contain it.
@@ -137,6 +139,7 @@
 		reply.TargetStatus = &s
 		reply.Load.Leaving = reply.Load.Leaving || s.Leaving
 	}
+	reply.ColdMs = r.warmup.leftMs(r.Clock.Now())
 	r.record(c, reply, received)
 	return reply, response
 }
@@ -150,13 +153,14 @@
 	if reason := r.arrivalRefusal(c.Target); reason != "" {
 		return refuse(reason), nil
 	}
+	r.beforeAdmission(c.ColdPerSecond)
 	deadline := r.senderDeadlines.limit(c.Sender, received+c.TimeoutMs)
 	waiting, cancel := context.WithTimeout(ctx, (deadline - received).Duration())
 	defer cancel()
 	d := r.admit(waiting, c, received, deadline)
 	if !d.Admitted {
 		if d.Reason == call.ReasonTargetLimited {
-			r.status.countRefused()
+			r.limitRefused()
 		}
 		reply := refuse(d.Reason)
 		reply.RetryAfterMs = d.RetryAfterMs
@@ -172,6 +176,7 @@
 	}
 	// The sender may have begun to stop while the request waited.
 	deadline = r.senderDeadlines.limit(c.Sender, deadline)
+	request.Epoch = d.RateEpoch
 	reply, response := r.runAtTarget(ctx, c, request, deadline-r.Clock.Now())
 	reply.TargetMs = float64(time.Since(start).Microseconds()) / 1000
 	reply.InnerRefused = r.innerRefused(response, admitted)
@@ -229,7 +234,7 @@
 	r.status.countSent(r.lifetime(c.Target), r.Clock.Now())
 	request.NewConn = c.Resent
 	r.retries.begin(c.Repeated)
-	response, err := r.Pool.Do(ctx, request)
+	response, err := r.doWatched(ctx, request)
 	r.retries.end(c.Repeated)
 	r.CrashGuard.Leave(ticket, fingerprint, poisonOutcome(ctx, err))
 	if err != nil {
@@ -246,6 +251,7 @@
 		response.Close()
 		r.absentTargets.add(c.Target, r.Clock.Now())
 		r.status.forget(c.Target, r.Clock.Now())
+		r.targetReplaced(c.Target, request.Epoch)
 		return refuse(call.ReasonNoTarget), nil
 	case said.NotRun:
 		response.Close()
@@ -279,6 +285,9 @@
 // replyForError returns the reply for an error, by whether the target may have received the request.
 func replyForError(ctx context.Context, err error) dispatch.Reply {
 	var failure *upstream.RequestError
+	if errors.Is(err, upstream.ErrWithdrawn) {
+		return refuse(call.ReasonTargetLimited)
+	}
 	if errors.As(err, &failure) && !failure.Sent {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return refuse(call.ReasonDeadlineExceeded)
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -146,6 +146,7 @@
 	})
 	n.buildRequestPath(dialect)
 	n.runner.Publish(metrics, n.ownTargetID)
+	n.handler.Sender.Publish(metrics)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -165,7 +166,7 @@
 	n.runner = localtarget.New(localtarget.Config{
 		Clock: n.clock, Dialect: dialect, Views: n.directory,
 		Admission: n.admission, Pool: n.targetPool, Recorder: n.recorder, Sockets: n.sockets,
-		Bodies: n.bodies, CrashGuard: n.crashGuard,
+		Bodies: n.bodies, CrashGuard: n.crashGuard, Health: n.health,
 		Logger: logging.WithPart(n.logger, "target"),
 	})
 	n.retryBudget = forward.NewServiceRetryBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
@@ -281,6 +282,7 @@
 			applied = v
 			n.applyView(v)
 		}
+		n.runner.AdvanceWarmup()
 		if !announced && n.ready() {
 			announced = true
 			_ = level.Info(n.logger).Log("part", "node", "msg", "node is ready", "policy", v.PolicyVersion)
@@ -293,10 +295,14 @@
 func (n *Node) applyView(v *directory.View) {
 	n.retryBudget.SetFleetSize(len(v.VMs.VMs))
 	n.handler.Sender.DropUnlistedStatuses(v)
+	n.handler.Sender.ApplyColdTargets(v)
 	n.runner.RefuseWaiting()
-	if own, ok := n.ownTarget(v); ok {
+	own, ok := n.ownTarget(v)
+	if ok {
 		n.setSlots(own.Slots)
 	}
+	published, _ := v.Service(n.settings.Service)
+	n.runner.ApplyView(published, own)
 }
 
 // ownTarget returns the local target's entry in the target list.
--- a/coltsfootd/upstream/conn.go
+++ b/coltsfootd/upstream/conn.go
@@ -89,6 +89,11 @@
 	return socket.PeekState(c.Conn) == socket.Idle
 }
 
+// lost reports whether the receiver has closed the idle connection before its time.
+func (c *conn) lost(now time.Time) bool {
+	return now.Sub(c.idleSince) < c.idleTimeout && socket.PeekState(c.Conn) == socket.Closed
+}
+
 // roundTrip sends the request and reads the response to it. sent is false if no byte can have been sent.
 func (c *conn) roundTrip(ctx context.Context, r *Request, echoHeader string) (response *http.Response, sent bool, err error) {
 	if err := ctx.Err(); err != nil {
--- a/coltsfootd/upstream/error.go
+++ b/coltsfootd/upstream/error.go
@@ -9,6 +9,9 @@
 // responses, or a long response to another request.
 var ErrResponseTooLarge = Error.New("the response is too large")
 
+// ErrWithdrawn means that a request was not sent because its epoch is over.
+var ErrWithdrawn = Error.New("the request was withdrawn before it was sent")
+
 // RequestError is the error of a request with what is known about the request.
 type RequestError struct {
 	// Sent is true if a part of the request may have reached the receiver.
--- a/coltsfootd/upstream/message.go
+++ b/coltsfootd/upstream/message.go
@@ -17,6 +17,8 @@
 	// NewConn makes the pool open a connection. It is needed if the same request has been sent to the receiver before: a late copy
 	// of the earlier response has the same id as the response to this one.
 	NewConn bool
+	// Epoch is compared with that of Withdraw before the request is sent.
+	Epoch uint64
 }
 
 // write sends the request. Its header must not contain hop-by-hop headers.
--- a/coltsfootd/upstream/pool.go
+++ b/coltsfootd/upstream/pool.go
@@ -61,6 +61,11 @@
 	idle    []*conn
 	maxIdle int
 
+	// minEpoch is the lowest epoch of requests that are sent.
+	minEpoch atomic.Uint64
+	// onLost is called when the receiver has closed all idle connections.
+	onLost func()
+
 	lastReadAt atomic.Int64
 	opened     atomic.Int64
 }
@@ -102,12 +107,27 @@
 	return time.Unix(0, at)
 }
 
+// OnLost sets a function that is called before a connection is opened if the receiver has closed all idle ones. It must be set
+// before the first request.
+func (p *Pool) OnLost(f func()) {
+	p.onLost = f
+}
+
+// Withdraw makes Do return ErrWithdrawn for requests of earlier epochs that have not been sent yet.
+func (p *Pool) Withdraw(before uint64) {
+	p.minEpoch.Store(before)
+}
+
 // Do sends the request once and returns the response. The error is always a *RequestError.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.acquire(ctx, !r.NewConn)
 	if err != nil {
 		return nil, &RequestError{Unreachable: ctx.Err() == nil, Err: err}
 	}
+	if r.Epoch < p.minEpoch.Load() {
+		_ = c.Close()
+		return nil, &RequestError{Err: ErrWithdrawn}
+	}
 	reused := c.used
 	c.used = true
 	// When the context ends, the past deadline unblocks reads and writes. The connection is not reused then.
@@ -176,6 +196,7 @@
 
 func (p *Pool) acquire(ctx context.Context, reuse bool) (*conn, error) {
 	now := time.Now()
+	lost := false
 	for reuse {
 		c := p.popIdle()
 		if c == nil {
@@ -184,8 +205,12 @@
 		if c.usable(now) {
 			return c, nil
 		}
+		lost = lost || c.lost(now)
 		_ = c.Close()
 	}
+	if lost && p.onLost != nil {
+		p.onLost()
+	}
 	opened, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -51,4 +51,7 @@
 	// Healthy is true if the target considers itself healthy and does not leave.
 	Healthy bool
 	Status  targetstatus.Report
+	// ColdMs is the time for which the target stays cold; 0 if it is warm. ColdErr is set if the target's value can't be read.
+	ColdMs  clock.Millis
+	ColdErr error
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -50,6 +50,9 @@
 	// TargetStatus is what the sender has learned of the target's statements about itself, in case the node beside the target has
 	// restarted since; nil if it knows of none.
 	TargetStatus *targetstatus.Status `json:"targetStatus,omitempty"`
+	// ColdPerSecond is the published allowance of cold targets of the service, for a node that has restarted and has no published
+	// values yet.
+	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
 }
 
 // Validate returns an error for the first field that is missing or out of range.
@@ -63,6 +66,8 @@
 		return Error.New("context has a negative timeout or attempt")
 	case c.Repeated < 0 || c.Repeated > 1:
 		return Error.New("context has the probability %v", c.Repeated)
+	case c.ColdPerSecond < 0:
+		return Error.New("context has a negative allowance of cold targets")
 	case c.TargetStatus != nil:
 		return Error.Wrap(c.TargetStatus.Validate())
 	}
@@ -86,6 +91,8 @@
 	Load     call.Load `json:"load"`
 	// TargetStatus is what the target last stated about itself; nil if it states nothing.
 	TargetStatus *targetstatus.Status `json:"targetStatus,omitempty"`
+	// ColdMs is the time for which the target is expected to stay cold; 0 if it is warm.
+	ColdMs clock.Millis `json:"coldMs,omitempty"`
 }
 
 // OK reports whether the target answered.
@@ -101,6 +108,9 @@
 	if r.Reason == "" && r.Run != call.WasRun {
 		return Error.New("reply has neither a reason nor the run state of a request that the target ran")
 	}
+	if r.ColdMs < 0 {
+		return Error.New("reply has a negative warm-up time")
+	}
 	if r.TargetStatus != nil {
 		return Error.Wrap(r.TargetStatus.Validate())
 	}
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -47,6 +47,8 @@
 	RetryAfterMs clock.Millis
 	// Waited is true if the request was in the queue.
 	Waited bool
+	// RateEpoch is the epoch of the rate limit under which the request was started.
+	RateEpoch uint64
 }
 
 // Config holds the policy parameters of a gate.
@@ -111,6 +113,7 @@
 	queue          *queue
 	// rate is nil while the rate of calls is not limited.
 	rate         *rateLimit
+	rateEpoch    uint64
 	serviceTimes map[route.Class]*serviceTimeEstimate
 
 	leaving         bool
@@ -426,7 +429,7 @@
 	if r.Class == route.Lookup {
 		g.runningLookups++
 	}
-	return append(decisions, Decision{ID: r.ID, Admitted: true})
+	return append(decisions, Decision{ID: r.ID, Admitted: true, RateEpoch: g.rateEpoch})
 }
 
 func (g *Gate) enqueue(r Request) {
--- a/core/gate/rate.go
+++ b/core/gate/rate.go
@@ -32,6 +32,8 @@
 	bucket    *quota.Bucket
 	// lookupCredit is the number of starts that lookups may take ahead of inner non-idempotent calls.
 	lookupCredit float64
+	// granted is the number of starts that are allowed ahead of the rate.
+	granted int
 }
 
 // newRateLimit returns a limit that allows no burst at first.
@@ -50,6 +52,7 @@
 }
 
 func (l *rateLimit) set(perSecond float64, now clock.Millis) {
+	l.granted = 0
 	l.perSecond = max(minRatePerSecond, perSecond)
 	l.bucket.SetRate(bucketRate(l.perSecond), now)
 }
@@ -57,7 +60,7 @@
 // allows reports whether a call of the class may start now. A nil limit allows every call.
 func (l *rateLimit) allows(class route.Class, now clock.Millis) bool {
 	switch {
-	case l == nil:
+	case l == nil || l.granted > 0:
 		return true
 	case class == route.Lookup && l.lookupCredit < 1:
 		return l.bucket.Tokens(now) >= 1+l.reserve()
@@ -78,6 +81,10 @@
 	if l == nil {
 		return
 	}
+	if l.granted > 0 {
+		l.granted--
+		return
+	}
 	l.charge(now)
 	switch {
 	case r.isInnerNonIdempotent():
@@ -93,7 +100,7 @@
 }
 
 func (l *rateLimit) waitForTokens(tokens float64, now clock.Millis) clock.Millis {
-	missing := tokens - l.bucket.Tokens(now)
+	missing := tokens - l.bucket.Tokens(now) - float64(l.granted)
 	return clock.Millis(math.Ceil(max(0, missing) * millisPerSecond / l.perSecond))
 }
 
@@ -109,6 +116,7 @@
 
 // SetRateLimit limits the calls that start per second. Waiting calls that could not start soon are refused.
 func (g *Gate) SetRateLimit(perSecond float64, now clock.Millis) []Decision {
+	g.rateEpoch++
 	if g.rate == nil {
 		g.rate = newRateLimit(perSecond, now)
 	} else {
@@ -119,6 +127,7 @@
 
 // RemoveRateLimit lets calls start without a limit on their rate.
 func (g *Gate) RemoveRateLimit(now clock.Millis) []Decision {
+	g.rateEpoch++
 	g.rate = nil
 	return g.dispatch(now, nil)
 }
@@ -128,6 +137,27 @@
 	g.rate.charge(now)
 }
 
+// GrantStarts allows n starts ahead of the rate limit, if there is one.
+func (g *Gate) GrantStarts(n int, now clock.Millis) []Decision {
+	if g.rate == nil {
+		return nil
+	}
+	g.rate.granted = n
+	return g.dispatch(now, nil)
+}
+
+// RefundRate takes back what was counted for a call that did not reach the target.
+func (g *Gate) RefundRate(now clock.Millis) {
+	if g.rate != nil {
+		g.rate.bucket.Refund(now)
+	}
+}
+
+// RateEpoch returns the number of changes of the rate limit. Decisions contain the one under which a call was started.
+func (g *Gate) RateEpoch() uint64 {
+	return g.rateEpoch
+}
+
 // rateWaitLimit returns the longest wait of a call of the class for a start within the rate limit.
 func rateWaitLimit(class route.Class) clock.Millis {
 	if class == route.Lookup {
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -56,6 +56,12 @@
 	b.tokens--
 }
 
+// Refund adds one token, up to the burst.
+func (b *Bucket) Refund(now clock.Millis) {
+	b.refill(now)
+	b.tokens = min(b.rate.Burst, b.tokens+1)
+}
+
 // Take removes up to want whole tokens and returns their number. A bucket whose burst is below one token grants one when
 // it is full, because a small share of a small burst would otherwise never grant anything.
 func (b *Bucket) Take(want int, now clock.Millis) int {
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -26,6 +26,10 @@
 	FailureDomains []string `json:"failureDomains,omitempty"`
 	// HealthPath is the path of the targets' health check, or empty if they have none.
 	HealthPath string `json:"healthPath,omitempty"`
+	// WarmupMs is the time after its start for which a target is cold.
+	WarmupMs clock.Millis `json:"warmupMs,omitempty"`
+	// ColdPerSecond is the number of requests per second that a cold target tolerates; 0 means no limit.
+	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
 }
 
 // Section is the published value "services".
--- a/core/vm/vm.go
+++ b/core/vm/vm.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/errs"
 
+	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/strictjson"
 )
 
@@ -39,6 +40,8 @@
 	StartedMs int64 `json:"startedMs,omitempty"`
 	// Sequence counts the reports of the target about itself since its start; 0 means unknown.
 	Sequence int64 `json:"sequence,omitempty"`
+	// ColdMs is the time for which the target stays cold, as of its report.
+	ColdMs clock.Millis `json:"coldMs,omitempty"`
 }
 
 // Section is the published value "vms".
