Show cold targets to operators, and withdraw requests that a crash overtakes

coltsfootctl status and the operator address of a node on the users' platform tell whether its target is cold.

In a fleet of real nodes a target that crashed and came back at once got its full load: requests in flight hid the loss of the idle connections, and a restarted node served before it had applied its first view. The loss of all idle connections now counts by itself, an answer shows that the target has survived only on a connection that had served another request, and a node without an applied view takes the allowance from the published values or from the sender.

--- a/coltsfootctl/status/status.go
+++ b/coltsfootctl/status/status.go
@@ -203,6 +203,22 @@
 	}
 }
 
+// formatWarmup tells whether the target of a node is cold or just warm. It returns "" if it is warm.
+func formatWarmup(s *operator.Status) string {
+	switch {
+	case s == nil || s.TargetWarmup == nil:
+		return ""
+	case s.TargetWarmup.Cold && s.TargetWarmup.Assumed:
+		return fmt.Sprintf("the target counts as cold until its state is known (%s)", s.TargetWarmup.Reason)
+	case s.TargetWarmup.Cold:
+		return fmt.Sprintf("the target is cold for %s (%s)", formatMillis(s.TargetWarmup.LeftMs), s.TargetWarmup.Reason)
+	case s.TargetWarmup.Ramping:
+		return "the load of the target grows after its warm-up"
+	default:
+		return ""
+	}
+}
+
 func (r Report) writeSummary(w io.Writer) error {
 	for _, d := range r.VersionMismatches {
 		versions := make([]int64, 0, len(d.NodesByVersion))
@@ -223,6 +239,13 @@
 			return err
 		}
 	}
+	for _, row := range r.Nodes {
+		if text := formatWarmup(row.Status); text != "" {
+			if _, err := fmt.Fprintf(w, "%s: %s\n", row.Status.Node, text); err != nil {
+				return err
+			}
+		}
+	}
 	if r.Unreachable > 0 {
 		_, err := fmt.Fprintf(w, "%d of %d nodes did not answer\n", r.Unreachable, len(r.Nodes))
 		return err
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -153,7 +153,7 @@
 	if reason := r.arrivalRefusal(c.Target); reason != "" {
 		return refuse(reason), nil
 	}
-	r.beforeAdmission(c.ColdPerSecond)
+	r.beforeAdmission(c)
 	deadline := r.senderDeadlines.limit(c.Sender, received+c.TimeoutMs)
 	waiting, cancel := context.WithTimeout(ctx, (deadline - received).Duration())
 	defer cancel()
--- a/coltsfootd/localtarget/warmup.go
+++ b/coltsfootd/localtarget/warmup.go
@@ -16,6 +16,7 @@
 	"coltsfootusher.example/coltsfootd/logging"
 	"coltsfootusher.example/coltsfootd/upstream"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/dispatch"
 	"coltsfootusher.example/core/gate"
 	"coltsfootusher.example/core/service"
 	"coltsfootusher.example/core/targetstatus"
@@ -83,6 +84,8 @@
 	logger log.Logger
 	// on is false if the service publishes no allowance; then nothing is observed on the path of a request.
 	on atomic.Bool
+	// viewed is true once a view was applied.
+	viewed atomic.Bool
 	// checks counts the health checks, withdrawn the requests that were not sent because the target turned cold.
 	checks, withdrawn expvar.Int
 
@@ -182,6 +185,7 @@
 
 // ApplyView takes the published service of the local target and its entry in the target list, which is empty if there is none.
 func (r *Runner) ApplyView(s service.Service, own vm.VM) {
+	defer r.warmup.viewed.Store(true)
 	if !r.warmup.on.Load() && s.ColdPerSecond <= 0 {
 		return
 	}
@@ -213,14 +217,24 @@
 	return r.warmup.state(r.Clock.Now())
 }
 
-// beforeAdmission notes what makes the state of the target uncertain: a node without published values learns the allowance from
-// the sender, and a restart of a target that was silent can't have been noticed.
-func (r *Runner) beforeAdmission(coldPerSecond float64) {
+// adoptAllowance puts an allowance into force before the first view is applied. A node that has no view yet takes the one that
+// the sender knows.
+func (r *Runner) adoptAllowance(c dispatch.Context) {
+	published := service.Service{ColdPerSecond: c.ColdPerSecond, WarmupMs: provisionalWarmupMs}
+	if v := r.Views.View(); v != nil {
+		published, _ = v.Service(c.Service)
+	}
+	if published.ColdPerSecond > 0 {
+		r.changeWarmup(func(t *warmup.Tracker, now clock.Millis) { t.Publish(published, now) })
+	}
+}
+
+// beforeAdmission notes what makes the state of the target uncertain: the node has just started, or the target was silent, so
+// that a restart can't have been noticed.
+func (r *Runner) beforeAdmission(c dispatch.Context) {
 	if !r.warmup.on.Load() {
-		if coldPerSecond > 0 && r.Views.View() == nil {
-			r.changeWarmup(func(t *warmup.Tracker, now clock.Millis) {
-				t.Publish(service.Service{ColdPerSecond: coldPerSecond, WarmupMs: provisionalWarmupMs}, now)
-			})
+		if !r.warmup.viewed.Load() {
+			r.adoptAllowance(c)
 		}
 		return
 	}
@@ -253,13 +267,7 @@
 
 // idleConnectionsLost notes that the target has closed all idle connections.
 func (r *Runner) idleConnectionsLost() {
-	if !r.warmup.on.Load() {
-		return
-	}
-	r.warmup.mu.Lock()
-	running := r.warmup.connections.others()
-	r.warmup.mu.Unlock()
-	if !running {
+	if r.warmup.on.Load() {
 		r.changeWarmup((*warmup.Tracker).Lost)
 	}
 }
@@ -277,7 +285,7 @@
 	var failure *upstream.RequestError
 	lost := errors.As(err, &failure) && failure.Sent && ctx.Err() == nil
 	r.warmup.mu.Lock()
-	allLost := r.warmup.connections.end(generation, err == nil, lost)
+	allLost := r.warmup.connections.end(generation, err == nil && response.Reused, lost)
 	if err == nil {
 		r.warmup.tracker.Answered(sentAt, r.Clock.Now())
 	}
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -66,7 +66,12 @@
 }
 
 func (plainDialect) ReadHealth(status int, h http.Header) dialect.HealthAnswer {
-	return dialect.HealthAnswer{Target: h.Get("By"), Healthy: status == http.StatusOK, Status: readStatus(h)}
+	a := dialect.HealthAnswer{Target: h.Get("By"), Healthy: status == http.StatusOK, Status: readStatus(h)}
+	if cold := h.Get("Cold"); cold != "" {
+		ms, err := strconv.ParseInt(cold, 10, 64)
+		a.ColdMs, a.ColdErr = clock.Millis(ms), err
+	}
+	return a
 }
 
 func readStatus(h http.Header) targetstatus.Report {
@@ -184,6 +189,8 @@
 	loseAnswers  atomic.Bool
 	holdRequests atomic.Bool
 	leaving      atomic.Bool
+	// coldMs is the warm-up time in the answers to health checks, which are counted.
+	coldMs, healthChecks atomic.Int64
 	// repeatRefusals makes the target refuse the first request on each connection, and write that refusal again when the next
 	// one arrives, which it runs.
 	repeatRefusals atomic.Bool
@@ -235,6 +242,10 @@
 // ServeHTTP runs a request.
 func (tg *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == healthPath {
+		tg.healthChecks.Add(1)
+		if ms := tg.coldMs.Load(); ms > 0 {
+			w.Header().Set("Cold", strconv.FormatInt(ms, 10))
+		}
 		tg.writeHeaders(w, r)
 		return
 	}
--- a/coltsfootd/mesh/serve.go
+++ b/coltsfootd/mesh/serve.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net/http"
 
+	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/coltsfootd/peers"
 	"coltsfootusher.example/core/dispatch"
 )
@@ -39,9 +40,19 @@
 		}
 		writeJSON(w, n.recorder.Explain(id))
 	})
+	mux.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.status()) })
 	return mux
 }
 
+// status returns the state of the node as operators see it. A node on the users' platform has no sections.
+func (n *Node) status() operator.Status {
+	targetWarmup := n.runner.Warmup()
+	return operator.Status{
+		Node: n.settings.NodeName, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Service: n.settings.Service,
+		Leaving: n.leaving.Load(), Ready: n.ready(), WatcherRank: -1, Load: n.admission.Load(), TargetWarmup: &targetWarmup,
+	}
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // Fails only if the client has disconnected.
--- a/coltsfootd/operator/operator.go
+++ b/coltsfootd/operator/operator.go
@@ -10,6 +10,7 @@
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/config"
 	"coltsfootusher.example/core/fleet"
+	"coltsfootusher.example/core/warmup"
 )
 
 // Status is the state of a node as operators see it.
@@ -38,6 +39,8 @@
 	Load   call.Load                          `json:"load"`
 	// InFlight is the number of requests that the local target runs.
 	InFlight int `json:"inFlight"`
+	// TargetWarmup is the state of the local target, on the users' platform.
+	TargetWarmup *warmup.State `json:"targetWarmup,omitempty"`
 	// LastContactMs are the times since the platform and each peer last answered.
 	LastContactMs map[string]clock.Millis `json:"lastContactMs,omitempty"`
 	// LeavingPeers are the nodes that announced that they take no new work.
--- a/coltsfootd/upstream/message.go
+++ b/coltsfootd/upstream/message.go
@@ -50,6 +50,8 @@
 
 // Response is a response with its whole body, or with the first part of a large body.
 type Response struct {
+	// Reused is true if the connection had served another request.
+	Reused bool
 	Status int
 	Header http.Header
 	// Body is the whole body, or its first part if Unbuffered is set.
--- a/coltsfootd/upstream/pool.go
+++ b/coltsfootd/upstream/pool.go
@@ -145,6 +145,7 @@
 		_ = response.Body.Close()
 		return nil, &RequestError{Sent: true, Reused: reused, Err: joinContextError(ctx, err)}
 	}
+	result.Reused = reused
 	return result, nil
 }
 
--- a/core/gate/rate_test.go
+++ b/core/gate/rate_test.go
@@ -8,6 +8,7 @@
 
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/route"
 )
 
 // load is a stream of requests that arrive at random times.
@@ -216,3 +217,51 @@
 	assert.Equal(t, len(g.RemoveRateLimit(1500)), 0)
 	assert.Assert(t, g.Offer(lookup(3, "a", 0), 1500)[0].Admitted)
 }
+
+// Guards against a limit that is used up by requests that another target answers at the address, and against a refund that allows
+// a burst. Load: lookups at 1,000 per second, of which all but every tenth are refunded, at a limit of 10.
+func TestRefundedRequestsDoNotCountTowardsTheRateLimit(t *testing.T) {
+	g := newGate(Config{Slots: 100, QueueLimit: 10})
+	g.SetRateLimit(10, 0)
+	started, counted := 0, 0
+	for now := clock.Millis(0); now < 10_000; now++ {
+		id := uint64(now) + 1
+		decisions := g.Offer(Request{ID: id, Class: route.NonIdempotent, Arrival: now, Deadline: now + 5000}, now)
+		for len(decisions) > 0 {
+			d := decisions[0]
+			decisions = decisions[1:]
+			if !d.Admitted {
+				continue
+			}
+			started++
+			if started%10 == 0 {
+				counted++
+			} else {
+				g.RefundRate(now)
+			}
+			decisions = append(decisions, g.Done(d.ID, Sample{LatencyMs: 1}, now)...)
+		}
+	}
+	assert.Assert(t, started >= 10*80, "%d started", started)
+	assert.Assert(t, counted <= 10*10+2, "%d counted", counted)
+}
+
+// Guards against a grant that is used more than once, or that outlasts a change of the limit. Load: ten operations at once.
+func TestGrantedStartsGoAheadOfTheRateOnce(t *testing.T) {
+	g := newGate(Config{Slots: 100, QueueLimit: 10})
+	assert.Equal(t, len(g.GrantStarts(4, 0)), 0, "without a limit there is nothing to grant")
+	g.SetRateLimit(0.5, 0)
+	g.GrantStarts(4, 0)
+	admitted := 0
+	for id := range uint64(10) {
+		for _, d := range g.Offer(Request{ID: id + 1, Class: route.NonIdempotent, Deadline: 5000}, 0) {
+			if d.Admitted {
+				admitted++
+			}
+		}
+	}
+	assert.Equal(t, admitted, 4)
+	g.GrantStarts(4, 0)
+	g.SetRateLimit(0.4, 0)
+	assert.Equal(t, len(g.Offer(Request{ID: 20, Class: route.NonIdempotent, Deadline: 5000}, 0)), 1, "refused at once")
+}
--- a/core/warmup/tracker.go
+++ b/core/warmup/tracker.go
@@ -132,10 +132,12 @@
 	t.Advance(now)
 }
 
-// outdated reports whether the entry is from an earlier lifetime or report than what is known.
+// outdated reports whether the entry is from an earlier lifetime or report than what is known, or was passed on by a node of an
+// older version, which leaves out the warm-up time.
 func (t *Tracker) outdated(v vm.VM) bool {
 	if v.Name == t.entry.Name {
-		return v.ReportedBefore(t.entry)
+		sameReport := v.Sequence != 0 && v.Report() == t.entry.Report()
+		return v.ReportedBefore(t.entry) || sameReport && v.ColdMs < t.entry.ColdMs
 	}
 	return v.StartedMs != 0 && v.StartedMs < t.entry.StartedMs
 }
--- a/core/warmup/tracker_test.go
+++ b/core/warmup/tracker_test.go
@@ -61,6 +61,7 @@
 		{"listed again unchanged", []func(*Tracker){listed(entry(2, 4000)), func(tr *Tracker) {
 			tr.Listed(entry(2, 4000), start+3000)
 		}}, 4000},
+		{"passed on by a node of an older version", []func(*Tracker){listed(entry(2, 4000)), listed(entry(2, 0))}, 4000},
 		{"earlier report received late", []func(*Tracker){listed(entry(3, 0)), listed(entry(2, 4000))}, 0},
 		{"listed as warm soon after a loss", []func(*Tracker){lost, func(tr *Tracker) { tr.Listed(entry(2, 0), start+2000) }}, -1},
 		{"listed as warm long after a loss", []func(*Tracker){lost, func(tr *Tracker) { tr.Listed(entry(2, 0), start+5000) }}, 5000},
