--- a/coltsfootd/forward/coldtargets.go
+++ b/coltsfootd/forward/coldtargets.go
@@ -14,6 +14,7 @@
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/dispatch"
+	"coltsfootusher.example/core/targetstatus"
 	"coltsfootusher.example/core/vm"
 	"coltsfootusher.example/core/warmup"
 )
@@ -39,18 +40,14 @@
 	}
 }
 
-func coldLifetime(v vm.VM) warmup.Lifetime {
-	return warmup.Lifetime{Target: v.Name, StartedMs: v.StartedMs}
-}
-
 // change applies a change to what is known of a target.
 func (c *coldTargets) change(v vm.VM, source string, now clock.Millis, apply func(s *warmup.Share)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before := c.share.Cold(coldLifetime(v), now)
+	before := c.share.Cold(lifetime(v), now)
 	apply(c.share)
 	c.known.Store(int64(c.share.Len()))
-	if after := c.share.Cold(coldLifetime(v), now); before != after && c.lines.Allow(now) {
+	if after := c.share.Cold(lifetime(v), now); before != after && c.lines.Allow(now) {
 		_ = level.Info(c.logger).Log("msg", "target seen as cold changed", "target", v.Name, "cold", after, "source", source)
 	}
 }
@@ -60,7 +57,7 @@
 	if r.Reason == call.ReasonNodeUnreachable || r.Load.Limit == 0 || r.ColdMs == 0 && c.known.Load() == 0 {
 		return
 	}
-	c.change(v, "reply", now, func(s *warmup.Share) { s.Replied(coldLifetime(v), r.ColdMs, interval, now) })
+	c.change(v, "reply", now, func(s *warmup.Share) { s.Replied(lifetime(v), r.ColdMs, interval, now) })
 }
 
 func (c *coldTargets) sent(v vm.VM, interval, now clock.Millis) {
@@ -73,27 +70,37 @@
 }
 
 // due reports whether the target is warm or this node may send it a request now.
-func (c *coldTargets) due(v vm.VM, now clock.Millis) bool {
+func (c *coldTargets) due(l targetstatus.Lifetime, now clock.Millis) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.share.Due(l, now)
+}
+
+// knows reports whether something is kept of the target. Most targets in a long list are warm and unknown.
+func (c *coldTargets) knows(target string) bool {
+	if c.known.Load() == 0 {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.share.Cold(coldLifetime(v), now) || c.share.Due(v.Name, now)
+	return c.share.Knows(target)
 }
 
-func (c *coldTargets) isCold(v vm.VM, now clock.Millis) bool {
+func (c *coldTargets) isCold(l targetstatus.Lifetime, now clock.Millis) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.share.Cold(coldLifetime(v), now)
+	return c.share.Cold(l, now)
 }
 
 // sparesCold reports whether cold targets of the service get only the share of this node, because a warm one is usable. If all
 // are cold, their gates decide.
-func (s *Sender) sparesCold(vms []vm.VM, usable func(address string) bool) bool {
+func (s *Sender) sparesCold(vms []vm.VM, usable func(address string) bool, now clock.Millis) bool {
 	if s.cold.known.Load() == 0 {
 		return false
 	}
-	now := s.Clock.Now()
-	for _, v := range vms {
-		if v.State == vm.Live && (v.PeerAddress == s.Address || usable(v.PeerAddress)) && !s.cold.isCold(v, now) {
+	for i := range vms {
+		v := &vms[i]
+		if v.State == vm.Live && !s.cold.isCold(targetstatus.Lifetime{Target: v.Name, StartedMs: v.StartedMs}, now) && (v.PeerAddress == s.Address || usable(v.PeerAddress)) {
 			return true
 		}
 	}
@@ -112,7 +119,7 @@
 func (s *Sender) ApplyColdTargets(v *directory.View) {
 	now := s.Clock.Now()
 	for _, target := range v.VMs.VMs {
-		if target.ColdMs == 0 && s.cold.known.Load() == 0 {
+		if target.ColdMs == 0 && !s.cold.knows(target.Name) {
 			continue
 		}
 		interval := s.coldInterval(target.Service)
@@ -120,7 +127,7 @@
 			continue
 		}
 		s.cold.change(target, "list", now, func(share *warmup.Share) {
-			share.Listed(coldLifetime(target), target.Sequence, target.ColdMs, interval, now)
+			share.Listed(lifetime(target), target.Sequence, target.ColdMs, interval, now)
 		})
 	}
 	s.cold.dropWarm(now)
--- a/coltsfootd/forward/coldtargets_test.go
+++ b/coltsfootd/forward/coldtargets_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/go-kit/log"
@@ -24,13 +25,13 @@
 	c.replied(v, answer, interval, 0)
 	assert.Equal(t, c.known.Load(), int64(0))
 	c.replied(v, cold, interval, 0)
-	assert.Assert(t, c.isCold(v, 400) && !c.isCold(v, 500))
+	assert.Assert(t, c.isCold(lifetime(v), 400) && !c.isCold(lifetime(v), 500))
 	c.replied(v, dispatch.Reply{Reason: call.ReasonNodeUnreachable, Run: call.MaybeRun}, interval, 10)
-	assert.Assert(t, c.isCold(v, 400))
+	assert.Assert(t, c.isCold(lifetime(v), 400))
 	c.sent(v, interval, 100)
-	assert.Assert(t, !c.due(v, 400) && c.due(v, 600))
+	assert.Assert(t, !c.due(lifetime(v), 400) && c.due(lifetime(v), 600))
 	c.replied(v, answer, interval, 200)
-	assert.Assert(t, c.due(v, 400), "warm")
+	assert.Assert(t, c.due(lifetime(v), 400), "warm")
 	c.dropWarm(60_000)
 	assert.Equal(t, c.known.Load(), int64(0))
 }
@@ -42,10 +43,33 @@
 	s := &Sender{cold: c}
 	vms := []vm.VM{v}
 	assert.Equal(t, testing.AllocsPerRun(100, func() {
-		if s.sparesCold(vms, nil) {
+		if s.sparesCold(vms, nil, 0) {
 			t.Error("a target is cold")
 		}
 		c.sent(v, 1000, 0)
 		c.replied(v, reply, 1000, 0)
 	}), 0.0)
 }
+
+// BenchmarkChoiceWithColdTargets measures what the share of cold targets costs a choice among 60 targets, half of them cold.
+func BenchmarkChoiceWithColdTargets(b *testing.B) {
+	const targets, interval = 60, 1000
+	s := &Sender{cold: newColdTargets(log.NewNopLogger(), 1)}
+	vms := make([]vm.VM, targets)
+	for i := range vms {
+		vms[i] = vm.VM{Name: strconv.Itoa(i), State: vm.Live}
+		if i < targets/2 {
+			s.cold.replied(vms[i], dispatch.Reply{Load: call.Load{Limit: 8}, ColdMs: 1000}, interval, 0)
+		}
+	}
+	usable := func(string) bool { return true }
+	b.ReportAllocs()
+	for b.Loop() {
+		if !s.sparesCold(vms, usable, 1) {
+			b.Fatal("no target is warm")
+		}
+		for _, v := range vms {
+			s.cold.due(lifetime(v), 1)
+		}
+	}
+}
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -198,12 +198,13 @@
 ) (vm.VM, balance.Choice, bool) {
 	vms := view.VMsOfService(service)
 	candidates := make([]balance.Candidate, 0, len(vms))
-	spareCold := s.sparesCold(vms, usable)
+	now := s.Clock.Now()
+	spareCold := s.sparesCold(vms, usable, now)
 	for _, v := range vms {
 		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
 			continue
 		}
-		if spareCold && !s.cold.due(v, s.Clock.Now()) {
+		if spareCold && !s.cold.due(lifetime(v), now) {
 			continue
 		}
 		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
@@ -212,7 +213,7 @@
 		}
 		candidates = append(candidates, c)
 	}
-	choice, ok := s.Balancer.Choose(candidates, nil, s.Clock.Now())
+	choice, ok := s.Balancer.Choose(candidates, nil, now)
 	if !ok {
 		return vm.VM{}, choice, false
 	}
--- a/coltsfootd/localtarget/health.go
+++ b/coltsfootd/localtarget/health.go
@@ -40,12 +40,12 @@
 
 // Serves reports whether the local target has this id, serves, and is not leaving.
 func (h *HealthProber) Serves(ctx context.Context, id string) bool {
-	answer, err := h.check(ctx)
+	answer, err := h.check(ctx, false)
 	return err == nil && answer.Target == id && answer.Healthy && !answer.Status.Leaving
 }
 
-// check sends a health check to the local target and returns its answer.
-func (h *HealthProber) check(ctx context.Context) (dialect.HealthAnswer, error) {
+// check sends a health check to the local target, on a new connection if newConn is set, and returns its answer.
+func (h *HealthProber) check(ctx context.Context, newConn bool) (dialect.HealthAnswer, error) {
 	v := h.views.View()
 	if v == nil {
 		return dialect.HealthAnswer{}, errNoHealthPath
@@ -57,7 +57,7 @@
 	h.countRequest()
 	response, err := h.pool.Do(ctx, &upstream.Request{
 		Method: http.MethodGet, URI: published.HealthPath, Host: h.pool.Address(), Header: http.Header{},
-		NewConn: true, Epoch: everyEpoch,
+		NewConn: newConn, Epoch: everyEpoch,
 	})
 	if err != nil {
 		return dialect.HealthAnswer{}, err
--- a/coltsfootd/localtarget/warmup.go
+++ b/coltsfootd/localtarget/warmup.go
@@ -160,12 +160,12 @@
 	}
 }
 
-// checkTarget asks the target for its state.
+// checkTarget asks the target for its state, on a new connection because idle ones may be those to a crashed target.
 func (r *Runner) checkTarget(sentAt clock.Millis) {
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
 	r.warmup.checks.Add(1)
-	answer, err := r.Health.check(ctx)
+	answer, err := r.Health.check(ctx, true)
 	if err != nil {
 		_ = level.Debug(r.Logger).Log("msg", "health check failed", "err", err)
 		if isRefused(err) {
--- a/coltsfootd/mesh/coldtarget_test.go
+++ b/coltsfootd/mesh/coldtarget_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -139,7 +140,11 @@
 				tg.restart(t)
 			}
 			if c.restartNode {
+				others := &fleet{nodes: slices.Clone(f.nodes[1:]), client: f.client}
+				var load sync.WaitGroup
+				load.Go(func() { others.sendOpen(5 * time.Second) })
 				f.restart(t, 0)
+				load.Wait()
 			}
 			answered := f.sendOpen(2 * time.Second)
 			for i, tg := range f.targets[:c.restarted] {
--- a/core/warmup/share.go
+++ b/core/warmup/share.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/targetstatus"
 )
 
 const (
@@ -13,12 +14,6 @@
 	firstWithinMs clock.Millis = 3000
 )
 
-// Lifetime identifies one run of a target's process.
-type Lifetime struct {
-	Target    string
-	StartedMs int64
-}
-
 // coldTarget is what an origin knows of a target that is or was cold.
 type coldTarget struct {
 	startedMs, sequence       int64
@@ -45,9 +40,14 @@
 	return len(s.targets)
 }
 
+// Knows reports whether something is kept of the target.
+func (s *Share) Knows(target string) bool {
+	return s.targets[target] != nil
+}
+
 // Listed applies the remaining warm-up time in a target's entry, whose report has the sequence number. It counts from the receipt
 // of the report.
-func (s *Share) Listed(l Lifetime, sequence int64, coldMs, interval, now clock.Millis) {
+func (s *Share) Listed(l targetstatus.Lifetime, sequence int64, coldMs, interval, now clock.Millis) {
 	known := s.targets[l.Target]
 	if known != nil && known.startedMs == l.StartedMs && known.sequence == sequence && sequence != 0 {
 		return
@@ -68,7 +68,7 @@
 
 // Replied applies the remaining warm-up time in a reply. A reply without one ends what the replies and the entry have said, if
 // an earlier reply had one: the node beside the target knows better than the list. Nodes of older versions never send one.
-func (s *Share) Replied(l Lifetime, coldMs, interval, now clock.Millis) {
+func (s *Share) Replied(l targetstatus.Lifetime, coldMs, interval, now clock.Millis) {
 	if coldMs > 0 {
 		s.target(l, interval, now).repliedUntil = now + coldMs
 		return
@@ -79,7 +79,7 @@
 }
 
 // target returns the record of a target that is cold.
-func (s *Share) target(l Lifetime, interval, now clock.Millis) *coldTarget {
+func (s *Share) target(l targetstatus.Lifetime, interval, now clock.Millis) *coldTarget {
 	c := s.targets[l.Target]
 	if c == nil || c.startedMs < l.StartedMs || !c.cold(now) {
 		sequence := int64(0)
@@ -102,15 +102,15 @@
 }
 
 // Cold reports whether the origin sees the target as cold.
-func (s *Share) Cold(l Lifetime, now clock.Millis) bool {
+func (s *Share) Cold(l targetstatus.Lifetime, now clock.Millis) bool {
 	c := s.targets[l.Target]
 	return c != nil && c.startedMs >= l.StartedMs && c.cold(now)
 }
 
-// Due reports whether the origin may send a request to a cold target.
-func (s *Share) Due(target string, now clock.Millis) bool {
-	c := s.targets[target]
-	return c == nil || now >= c.nextAt
+// Due reports whether the target is warm or the origin may send it a request now.
+func (s *Share) Due(l targetstatus.Lifetime, now clock.Millis) bool {
+	c := s.targets[l.Target]
+	return c == nil || now >= c.nextAt || c.startedMs < l.StartedMs || !c.cold(now)
 }
 
 // Sent records that the origin sends a request to a target. The next one may follow after the interval.
--- a/core/warmup/share_test.go
+++ b/core/warmup/share_test.go
@@ -7,12 +7,13 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/targetstatus"
 )
 
 // Guards against origins that together send a cold target much more than its allowance, which wastes round trips, and against a
 // target that joins and gets nothing for four seconds. Load: 195 and 2,500 origins that would send all the time, and 40 of 195.
 func TestOriginsTogetherSendTheAllowance(t *testing.T) {
-	l := Lifetime{Target: "t1", StartedMs: 1000}
+	l := targetstatus.Lifetime{Target: "t1", StartedMs: 1000}
 	for _, c := range []struct{ nodes, active int }{{195, 195}, {2500, 2500}, {195, 40}} {
 		const seconds, perSecond, coldMs = 30, 20, 60_000
 		interval := Interval(perSecond, c.nodes)
@@ -22,7 +23,7 @@
 			s.Listed(l, 1, coldMs, interval, 0)
 			for now := clock.Millis(0); now < seconds*millisPerSecond; now += 10 {
 				assert.Assert(t, s.Cold(l, now))
-				if s.Due(l.Target, now) {
+				if s.Due(l, now) {
 					s.Sent(l.Target, interval, now)
 					sent++
 					if now < 4000 {
@@ -42,7 +43,7 @@
 // of an earlier lifetime, or that sends full load because a node of an older version says nothing of the warm-up. Load: none.
 func TestWhatAnOriginSeesAsCold(t *testing.T) {
 	const interval = 1000
-	first, second := Lifetime{Target: "t1", StartedMs: 1000}, Lifetime{Target: "t1", StartedMs: 2000}
+	first, second := targetstatus.Lifetime{Target: "t1", StartedMs: 1000}, targetstatus.Lifetime{Target: "t1", StartedMs: 2000}
 	s := NewShare(rand.New(rand.NewPCG(1, 1)))
 	s.Listed(first, 1, 4000, interval, 0)
 	s.Replied(first, 0, interval, 100)
--- a/core/warmup/tracker.go
+++ b/core/warmup/tracker.go
@@ -50,8 +50,8 @@
 	// Assumed is true if the state is in doubt, so that the target counts as cold.
 	Assumed bool   `json:"assumed,omitempty"`
 	Reason  Reason `json:"reason,omitempty"`
-	// SinceMs is the time at which the target turned cold or warm.
-	SinceMs clock.Millis `json:"sinceMs"`
+	// ForMs is the time for which the target has been cold or warm.
+	ForMs clock.Millis `json:"forMs"`
 	// LeftMs is the time for which the target stays cold as far as is known.
 	LeftMs clock.Millis `json:"leftMs,omitempty"`
 }
@@ -313,6 +313,6 @@
 func (t *Tracker) State(now clock.Millis) State {
 	left := t.LeftMs(now)
 	return State{
-		Cold: t.cold, Ramping: t.rampFrom != 0, Assumed: t.doubt != "", Reason: t.reason, SinceMs: t.since, LeftMs: left,
+		Cold: t.cold, Ramping: t.rampFrom != 0, Assumed: t.doubt != "", Reason: t.reason, ForMs: now - t.since, LeftMs: left,
 	}
 }
