--- a/coltsfootd/forward/coldtargets.go
+++ b/coltsfootd/forward/coldtargets.go
@@ -100,7 +100,10 @@
 	}
 	for i := range vms {
 		v := &vms[i]
-		if v.State == vm.Live && !s.cold.isCold(targetstatus.Lifetime{Target: v.Name, StartedMs: v.StartedMs}, now) && (v.PeerAddress == s.Address || usable(v.PeerAddress)) {
+		if v.State != vm.Live || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
+			continue
+		}
+		if !s.cold.isCold(targetstatus.Lifetime{Target: v.Name, StartedMs: v.StartedMs}, now) {
 			return true
 		}
 	}
