--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -99,6 +99,7 @@
 	SenderConfig
 	randomMu sync.Mutex
 	statuses *targetStatuses
+	cold     *coldTargets
 	// stopBy is the time after which this node passes on no responses, because it stops; clock.Never while it doesn't.
 	stopBy atomic.Int64
 	// candidates holds the buffers (*[]balance.Candidate) of choices of targets.
@@ -107,7 +108,7 @@
 
 // NewSender returns a sender with the given dependencies.
 func NewSender(c SenderConfig) *Sender {
-	s := &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger)}
+	s := &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger), cold: newColdTargets(c.Logger, c.Incarnation)}
 	s.candidates.New = func() any { return new([]balance.Candidate) }
 	s.stopBy.Store(int64(clock.Never))
 	return s
@@ -205,11 +206,15 @@
 	buffer, _ := s.candidates.Get().(*[]balance.Candidate)
 	defer s.candidates.Put(buffer)
 	candidates := (*buffer)[:0]
-	vms := view.VMsOfService(service)
+	vms := usableTargets(view, service)
+	now := s.Clock.Now()
+	spareCold := s.sparesCold(vms, usable, now)
 	for i := range vms {
 		v := &vms[i]
-		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) ||
-			view.IsEvacuated(v.FailureDomain) {
+		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
+			continue
+		}
+		if spareCold && !s.cold.due(lifetime(*v), now) {
 			continue
 		}
 		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
@@ -219,7 +224,7 @@
 		candidates = append(candidates, c)
 	}
 	*buffer = candidates
-	choice, ok := s.Balancer.Choose(candidates, nil, s.Clock.Now())
+	choice, ok := s.Balancer.Choose(candidates, nil, now)
 	if !ok {
 		return vm.VM{}, choice, false
 	}
@@ -256,6 +261,12 @@
 	now := s.Clock.Now()
 	j.Target, j.TargetStatus = v.Name, s.statuses.get(lifetime(v))
 	j.Sender, j.TimeoutMs = s.Incarnation, max(0, s.deadline(j)-now)
+	interval := s.coldInterval(j.Service)
+	if interval > 0 {
+		published, _ := s.Values.View().Service(j.Service)
+		j.ColdPerSecond = published.ColdPerSecond
+		s.cold.sent(v, interval, now)
+	}
 	s.Balancer.Started(v.Name, now)
 	start := time.Now()
 	reply, response := s.deliver(ctx, v, j)
@@ -271,6 +282,9 @@
 	end := s.Clock.Now()
 	s.Balancer.Finished(v.Name, result, end)
 	s.statuses.record(lifetime(v), reply, end)
+	if interval > 0 {
+		s.cold.replied(v, reply, interval, end)
+	}
 	s.Recorder.Record(decision.Decision{
 		AtMs: end, Part: decision.PartPassage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
 		Action: "request sent to target", Node: v.Name, Reason: reply.Reason, Attempt: j.Attempt,
--- a/coltsfootd/mesh/serve.go
+++ b/coltsfootd/mesh/serve.go
@@ -41,14 +41,16 @@
 		}
 		writeJSON(w, n.recorder.Explain(id))
 	})
+	mux.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.status()) })
 	return mux
 }
 
 // status returns the state of the node as operators see it.
 func (n *Node) status() operator.Status {
+	targetWarmup := n.runner.Warmup()
 	s := operator.Status{
 		Node: n.settings.NodeName, Incarnation: n.incarnation, FailureDomain: n.settings.FailureDomain, Service: n.settings.Service,
-		Leaving: n.leaving.Load(), Ready: n.ready(), WatcherRank: -1, Load: n.admission.Load(),
+		Leaving: n.leaving.Load(), Ready: n.ready(), WatcherRank: -1, Load: n.admission.Load(), TargetWarmup: &targetWarmup,
 	}
 	if v := n.directory.View(); v != nil {
 		s.EvacuatedDomains = v.Evacuated
--- a/coltsfootd/upstream/message.go
+++ b/coltsfootd/upstream/message.go
@@ -21,6 +21,8 @@
 	// NewConn makes the pool open a connection. It is needed if the same request has been sent to the receiver before: a late copy
 	// of the earlier response has the same id as the response to this one.
 	NewConn bool
+	// Epoch is compared with that of Withdraw before the request is sent.
+	Epoch uint64
 }
 
 // HeaderField is a header with one value. Its name is canonical.
@@ -81,6 +83,8 @@
 
 // Response is a response with its whole body, or with the first part of a large body.
 type Response struct {
+	// Reused is true if the connection had served another request.
+	Reused bool
 	Status int
 	Header http.Header
 	// Body is the whole body, or its first part if Unbuffered is set.
