Measure the path of a call without the work of the nodes

BenchmarkBareHops sends the requests of BenchmarkCall through two net/http servers that pass them on with coltsfootd/upstream and do nothing else, which is what servers with net/http cost at least.

--- a/coltsfootd/mesh/bench_test.go
+++ b/coltsfootd/mesh/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -17,6 +18,9 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootusher.example/coltsfootd/meshsetting"
+	"coltsfootusher.example/coltsfootd/message"
+	"coltsfootusher.example/coltsfootd/socket"
+	"coltsfootusher.example/coltsfootd/upstream"
 )
 
 const (
@@ -45,6 +49,38 @@
 	}
 }
 
+// BenchmarkBareHops measures the path of BenchmarkCall with servers that do nothing but pass requests and responses on. What it
+// takes can't be saved while servers use net/http.
+func BenchmarkBareHops(b *testing.B) {
+	address := serveMinimalTarget(b, "t1")
+	for range 2 {
+		pool := upstream.New(address, upstream.Settings{
+			DialTimeout: time.Second, AckTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, BufferBytes: 64 << 10,
+			Sockets: socket.NewBudget(1 << 10),
+		})
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			message.RemoveHopByHopHeaders(r.Header)
+			response, err := pool.Do(r.Context(), &upstream.Request{
+				Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+			})
+			if err != nil {
+				w.WriteHeader(http.StatusBadGateway)
+				return
+			}
+			message.WriteResponse(w, response)
+		}))
+		b.Cleanup(server.Close)
+		address = strings.TrimPrefix(server.URL, "http://")
+	}
+	for name, request := range benchRequests() {
+		b.Run(name, func(b *testing.B) { benchmarkRequests(b, address, request) })
+	}
+}
+
 // benchRequests returns the requests of an account with its key.
 func benchRequests() map[string]string {
 	const head = " HTTP/1.1\r\nHost: h\r\nId: 0f8fad5b-d9cb-469f-a165-70867728950e\r\nKey: secret\r\n" + benchCallerHeaders
