Derive a context for a call to a peer only if the call may be cancelled

Calls of operations must not be cancelled while they are in progress, and their context was never used.

--- a/coltsfootd/peers/peers.go
+++ b/coltsfootd/peers/peers.go
@@ -251,7 +251,11 @@
 // Do sends a request to the peer. If the node does not answer a probe meanwhile, a cancellable call ends with ErrUnresponsive as
 // its cause.
 func (p *Peer) Do(ctx context.Context, r *upstream.Request, cancellable bool) (*upstream.Response, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+	// A call that must not be cancelled needs no context of its own.
+	cancel := func(error) {}
+	if cancellable {
+		ctx, cancel = context.WithCancelCause(ctx)
+	}
 	id := p.startCall(cancel, cancellable)
 	response, err := p.pool.Do(ctx, r)
 	p.endCall(id)
