--- a/coltsfootd/mesh/serve.go
+++ b/coltsfootd/mesh/serve.go
@@ -41,7 +41,6 @@
 		}
 		writeJSON(w, n.recorder.Explain(id))
 	})
-	mux.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.status()) })
 	return mux
 }
 
