--- a/core/call/call.go
+++ b/core/call/call.go
@@ -68,6 +68,11 @@
 	WaitMs clock.Millis
 	// Leaving is true when the gate refuses new calls because the target or its node is shutting down.
 	Leaving bool
+	// WorkMs is the sum of the expected remaining slot times of the running and waiting calls, at the present speed of the target.
+	WorkMs clock.Millis `json:",omitempty"`
+	// SlownessPercent is how long work takes at the target now, in percent of the usual time. It is 0 if the gate does not estimate
+	// the cost of requests, as gates of earlier versions.
+	SlownessPercent int `json:",omitempty"`
 }
 
 // RunStatus tells whether a target may have received a request.
