Let the gate estimate waits and deadlines by route

With an estimator, "deadline too close" compares the deadline with the estimate of the route, and the expected wait and the retry delay follow from the outstanding work instead of the mean of the class; the reported load has the outstanding work and the slowness. Without one, or while the target reports no slowness, the decisions are the same (TestGateDecidesAsBeforeWithoutReports).

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -7,6 +7,7 @@
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/route"
+	"coltsfootusher.example/core/workcost"
 )
 
 const (
@@ -35,6 +36,9 @@
 	Target string
 	// Sender identifies the process that has sent the call and passes its response on; 0 if it is not known.
 	Sender uint64
+	// Route is the name of the route, and BodyBytes the size of the body; the expected cost depends on them.
+	Route     string
+	BodyBytes int
 }
 
 // Decision is the final result for a request: it starts now, or it is refused and was not run.
@@ -72,6 +76,11 @@
 	Failed    bool
 	// Cancelled is true when the call ended before the target responded, so that its latency is only a lower bound.
 	Cancelled bool
+	// Answered is true if the target answered the call.
+	Answered bool
+	// SlownessPercent is how long work takes at the target according to its answer, in percent of the usual time; 0 if it did
+	// not say.
+	SlownessPercent int
 }
 
 // Limiter derives the concurrency limit from the target's behaviour.
@@ -90,6 +99,10 @@
 type runningCall struct {
 	class   route.Class
 	account *account
+	started clock.Millis
+	key     workcost.Key
+	// cost is the expected slot time; it is zero while estimates by route are off.
+	cost workcost.Estimate
 }
 
 // account counts the calls of one client account at this gate.
@@ -112,6 +125,8 @@
 	// rate is nil while the rate of calls is not limited.
 	rate         *rateLimit
 	serviceTimes map[route.Class]*serviceTimeEstimate
+	// estimator is nil if the gate has no estimates by route.
+	estimator Estimator
 
 	leaving         bool
 	targetStartedAt clock.Millis
@@ -165,6 +180,9 @@
 	for _, e := range g.serviceTimes {
 		*e = serviceTimeEstimate{}
 	}
+	if g.estimator != nil {
+		g.estimator.TargetStarted()
+	}
 }
 
 // Offer submits a request. The decisions can include other requests, for example one that is evicted from the queue.
@@ -182,7 +200,7 @@
 	if g.queue.len() == 0 {
 		g.queueNonEmptySince = now
 	}
-	g.enqueue(r)
+	g.enqueue(r, now)
 	return g.evictOverLimit(g.dispatch(now, nil), now)
 }
 
@@ -194,6 +212,7 @@
 	}
 	g.limiter.Observe(s, len(g.running), now)
 	g.serviceTimes[finished.class].observe(s, now)
+	g.observeCost(finished, s, now)
 	delete(g.running, id)
 	finished.account.running--
 	g.dropIdleAccount(finished.account)
@@ -237,13 +256,13 @@
 	if g.config.Enabled {
 		limit = min(limit, g.limiter.Limit())
 	}
-	return call.Load{
+	return g.addCosts(call.Load{
 		Running: len(g.running),
 		Waiting: g.queue.len(),
 		Limit:   limit,
 		WaitMs:  clock.Millis(g.expectedWaitMs(now)),
 		Leaving: g.leaving,
-	}
+	}, now)
 }
 
 // Idle reports whether no call is running or waiting.
@@ -385,13 +404,21 @@
 	switch {
 	case remaining <= 0:
 		return call.ReasonDeadlineExceeded
-	case float64(remaining) < g.serviceTimes[r.Class].valueMs(now):
+	case float64(remaining) < g.minSlotTimeMs(r, now):
 		return call.ReasonDeadlineTooClose
 	default:
 		return ""
 	}
 }
 
+// minSlotTimeMs returns the time to its deadline below which a request is refused, or 0 if it is not known.
+func (g *Gate) minSlotTimeMs(r Request, now clock.Millis) float64 {
+	if g.usesCosts() {
+		return g.estimator.RefusalMs(r.costKey(), now)
+	}
+	return g.serviceTimes[r.Class].valueMs(now)
+}
+
 // expiryReason returns the reason to refuse a waiting request that has timed out, or "" when it may keep waiting.
 // The queue timeout does not apply to non-idempotent calls, because they are refused last.
 func (g *Gate) expiryReason(r Request, now clock.Millis) call.Reason {
@@ -421,7 +448,7 @@
 
 func (g *Gate) start(decisions []Decision, a *account, r Request, now clock.Millis) []Decision {
 	g.rate.chargeStart(r, g.config.LookupShare, now)
-	g.running[r.ID] = runningCall{class: r.Class, account: a}
+	g.running[r.ID] = runningCall{class: r.Class, account: a, started: now, key: r.costKey(), cost: g.expectedCost(r, now)}
 	a.running++
 	if r.Class == route.Lookup {
 		g.runningLookups++
@@ -429,10 +456,10 @@
 	return append(decisions, Decision{ID: r.ID, Admitted: true})
 }
 
-func (g *Gate) enqueue(r Request) {
+func (g *Gate) enqueue(r Request, now clock.Millis) {
 	a := g.account(r)
 	a.waiting++
-	g.queue.add(&waiter{request: r, account: a})
+	g.queue.add(&waiter{request: r, account: a, costMs: g.expectedCost(r, now).MeanMs})
 }
 
 func (g *Gate) remove(w *waiter) {
@@ -465,17 +492,20 @@
 // expectedWaitMs estimates the time in the queue for a call that arrives now.
 func (g *Gate) expectedWaitMs(now clock.Millis) float64 {
 	if g.rate == nil {
-		return g.expectedSlotWaitMs()
+		return g.expectedSlotWaitMs(now)
 	}
-	return max(g.expectedSlotWaitMs(), float64(g.rate.waitMs(g.queue.len()+1, now)))
+	return max(g.expectedSlotWaitMs(now), float64(g.rate.waitMs(g.queue.len()+1, now)))
 }
 
 // expectedSlotWaitMs estimates the time until a slot is free for a call that arrives now.
-func (g *Gate) expectedSlotWaitMs() float64 {
+func (g *Gate) expectedSlotWaitMs(now clock.Millis) float64 {
 	limit := max(1, min(g.config.Slots, g.limiter.Limit()))
 	if !g.config.Enabled || len(g.running) < limit && g.queue.len() == 0 {
 		return 0
 	}
+	if g.usesCosts() {
+		return g.expectedCostWaitMs(limit, now)
+	}
 	lookupMs, nonIdempotentMs := g.serviceTimes[route.Lookup].mean, g.serviceTimes[route.NonIdempotent].mean
 	return float64(g.queue.len()+1) * max(lookupMs, nonIdempotentMs) / float64(limit)
 }
--- a/core/gate/queue.go
+++ b/core/gate/queue.go
@@ -14,6 +14,8 @@
 	level   *priorityLevel
 	// sequence increases with each request; it orders requests whose arrival times are equal.
 	sequence uint64
+	// costMs is the expected slot time at the usual speed; 0 if it is not known.
+	costMs float64
 }
 
 // accountQueue holds the waiting requests of one account at one priority level, in order of arrival.
@@ -43,6 +45,8 @@
 	// lookups is the number of waiting lookups.
 	lookups  int
 	sequence uint64
+	// costMs is the sum of the expected slot times of the waiting requests.
+	costMs float64
 }
 
 func newQueue() *queue {
@@ -61,6 +65,7 @@
 	aq.waiters = append(aq.waiters, w)
 	w.level.waiting++
 	q.waiters[w.request.ID] = w
+	q.costMs += w.costMs
 	if w.request.Class == route.Lookup {
 		q.lookups++
 	}
@@ -72,6 +77,11 @@
 	aq.waiters = slices.Delete(aq.waiters, i, i+1)
 	w.level.waiting--
 	delete(q.waiters, w.request.ID)
+	q.costMs -= w.costMs
+	if len(q.waiters) == 0 {
+		// Rounding errors of the sum must not accumulate.
+		q.costMs = 0
+	}
 	if w.request.Class == route.Lookup {
 		q.lookups--
 	}
