Choose targets by expected completion time where costs are known

ChooseForCost compares the wait for a slot, from the outstanding work, and the run time, from the cost of the request and the slowness of the target.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -69,6 +69,8 @@
 	WaitMs float64
 	// LoadAgeMs is the age of the reported load, or -1 when the node has not reported any.
 	LoadAgeMs clock.Millis
+	// Work is set if the choice was based on the expected cost of the request.
+	Work WorkFacts
 }
 
 // CallResult is the result of a call to a node.
@@ -81,6 +83,8 @@
 	Failed bool
 	// Refused is true when the node refused the call; its latency then says nothing about the target.
 	Refused bool
+	// CostMs is the expected cost that was given to StartedWork; TargetMs is the time that the target took, 0 if it is not known.
+	CostMs, TargetMs float64
 }
 
 // node is the state that the balancer keeps for a node.
@@ -92,6 +96,7 @@
 	// othersCalls is the number of calls in the reported load that came from other nodes.
 	othersCalls int
 	latencyMs   float64
+	work        nodeWork
 
 	failures     int
 	ejections    int
@@ -122,10 +127,18 @@
 // Choose returns the node for the next call, or false when every candidate is excluded or leaving.
 // The caller must report the call with Started and Finished.
 func (b *Balancer) Choose(candidates []Candidate, exclude map[string]bool, now clock.Millis) (Choice, bool) {
+	return b.ChooseForCost(0, candidates, exclude, now)
+}
+
+// ChooseForCost chooses like Choose by the expected completion time of a request whose expected slot time at the usual speed is
+// costMs. A cost of 0 is not known; the choice is then the same as that of Choose.
+func (b *Balancer) ChooseForCost(
+	costMs float64, candidates []Candidate, exclude map[string]bool, now clock.Millis,
+) (Choice, bool) {
 	if b.config.RoundRobin {
 		return b.chooseRoundRobin(candidates, exclude, now)
 	}
-	s := selection{balancer: b, candidates: candidates, exclude: exclude, now: now}
+	s := selection{balancer: b, candidates: candidates, exclude: exclude, now: now, costMs: costMs}
 	s.maxEjected = min(int(b.config.MaxEjectedFraction*float64(len(candidates))), len(candidates)-1)
 	chosen, ok := s.choose()
 	if !ok {
@@ -136,7 +149,12 @@
 	if !ok {
 		return Choice{}, false
 	}
-	return b.newChoice(candidates[chosen], now), true
+	choice := b.newChoice(candidates[chosen], now)
+	if costMs > 0 {
+		choice.Work = b.workFacts(candidates[chosen], costMs, now)
+		choice.WaitMs = choice.Work.WaitMs
+	}
+	return choice, true
 }
 
 // Started counts a call that is sent to the node.
@@ -152,6 +170,7 @@
 		n.load, n.loadKnown, n.loadAt = *result.Load, true, now
 		n.othersCalls = max(0, n.load.Running+n.load.Waiting-n.inFlight)
 	}
+	n.finishWork(result, now)
 	switch {
 	case result.Failed:
 		b.recordFailure(n, now)
--- a/core/balance/selection.go
+++ b/core/balance/selection.go
@@ -9,6 +9,8 @@
 	exclude    map[string]bool
 	maxEjected int
 	now        clock.Millis
+	// costMs is the expected slot time of the request at the usual speed; 0 if it is not known.
+	costMs float64
 }
 
 // choose returns the better of two random candidates of the local failure domain, unless the better of two from other
@@ -19,7 +21,7 @@
 	switch {
 	case !localOK:
 		return remote, remoteOK
-	case !remoteOK || s.costMs(local) <= s.costMs(remote):
+	case !remoteOK || s.delayMs(local) <= s.delayMs(remote):
 		return local, true
 	default:
 		return remote, true
@@ -39,37 +41,42 @@
 	}
 	first := s.balancer.random.IntN(count)
 	if count == 1 {
-		return s.nthUsable(first, local), true
+		only, _ := s.nthUsable(first, first, local)
+		return only, true
 	}
 	second := s.balancer.random.IntN(count - 1)
 	if second >= first {
 		second++
 	}
-	a, b := s.nthUsable(first, local), s.nthUsable(second, local)
+	a, b := s.nthUsable(first, second, local)
 	if s.isBetter(b, a) {
 		return b, true
 	}
 	return a, true
 }
 
-// nthUsable returns the index of the nth usable candidate, counted from 0.
-func (s *selection) nthUsable(n int, local bool) int {
-	for i := range s.candidates {
+// nthUsable returns the indices of the usable candidates with the ordinal numbers first and second, counted from 0.
+func (s *selection) nthUsable(first, second int, local bool) (a, b int) {
+	last := max(first, second)
+	for i, n := 0, 0; n <= last && i < len(s.candidates); i++ {
 		if !s.isUsable(i, local) {
 			continue
 		}
-		if n == 0 {
-			return i
+		if n == first {
+			a = i
+		}
+		if n == second {
+			b = i
 		}
-		n--
+		n++
 	}
-	return -1
+	return a, b
 }
 
 // isUsable reports whether the candidate is on the given side and is not excluded, leaving or ejected.
 func (s *selection) isUsable(i int, local bool) bool {
-	c := s.candidates[i]
-	if s.exclude[c.Node] || (c.FailureDomain == s.balancer.config.FailureDomain) != local {
+	c := &s.candidates[i]
+	if (c.FailureDomain == s.balancer.config.FailureDomain) != local || s.exclude[c.Node] {
 		return false
 	}
 	n := s.balancer.nodes[c.Node]
@@ -98,19 +105,30 @@
 	return longerEjections < s.maxEjected
 }
 
-// isBetter compares candidates by cost, which is the wait plus the network delay, and by utilization if the costs are equal.
+// isBetter compares candidates by the expected delay, and by utilization if the delays are equal.
 func (s *selection) isBetter(a, b int) bool {
-	waitA, utilizationA := s.balancer.estimateWait(s.candidates[a], s.now)
-	waitB, utilizationB := s.balancer.estimateWait(s.candidates[b], s.now)
-	costA, costB := waitA+s.candidates[a].NetworkDelayMs, waitB+s.candidates[b].NetworkDelayMs
-	if costA != costB {
-		return costA < costB
+	delayA, utilizationA := s.estimate(a)
+	delayB, utilizationB := s.estimate(b)
+	if delayA != delayB {
+		return delayA < delayB
 	}
 	return utilizationA < utilizationB
 }
 
-// costMs returns the expected wait at the candidate plus the network delay.
-func (s *selection) costMs(i int) float64 {
-	waitMs, _ := s.balancer.estimateWait(s.candidates[i], s.now)
-	return waitMs + s.candidates[i].NetworkDelayMs
+// delayMs returns the expected delay at the candidate as in estimate.
+func (s *selection) delayMs(i int) float64 {
+	delayMs, _ := s.estimate(i)
+	return delayMs
+}
+
+// estimate returns the expected wait at the candidate plus the network delay, and plus the time that the target takes if the cost
+// of the request is known; and the utilization of the candidate's slots.
+func (s *selection) estimate(i int) (delayMs, utilization float64) {
+	c := s.candidates[i]
+	if s.costMs > 0 {
+		e := s.balancer.estimateCompletion(c, s.costMs, s.now)
+		return waitWeight*e.waitMs + e.runMs + c.NetworkDelayMs, e.utilization
+	}
+	waitMs, utilization := s.balancer.estimateWait(c, s.now)
+	return waitMs + c.NetworkDelayMs, utilization
 }
