Place requests by expected completion time at nodes whose targets report their slowness

The gate learns the slot time of requests by route and reports outstanding work and slowness with each reply; the origin learns costs from replies and chooses by them once a service reports its slowness. The setting costPlacement (auto, on, off) forces it. Lines of choices by cost have the cost, its age, the run time, the outstanding work and the slowness; metrics: targetCost, costPlacementServices, costPlacementKeys. Nodes of earlier versions ignore the new fields of a reply, and a reply without them counts as one without a report.

--- a/coltsfootd/decision/decision.go
+++ b/coltsfootd/decision/decision.go
@@ -44,6 +44,8 @@
 	FactAgeMs clock.Millis `json:"factAgeMs"`
 	// ElapsedMs is the time that the whole call took, for final decisions.
 	ElapsedMs clock.Millis `json:"elapsedMs"`
+	// Cost is set if a target was chosen by the expected cost of the request.
+	Cost *Cost `json:"cost,omitempty"`
 }
 
 // Recorder keeps recent decisions; it is safe for concurrent use.
@@ -103,7 +105,7 @@
 		r.omittedTotal.Add(1)
 		return
 	}
-	_ = level.Info(r.logger).Log("part", d.Part, "msg", d.Action, "request", d.RequestID, "account", d.Account,
+	_ = level.Info(d.Cost.logger(r.logger)).Log("part", d.Part, "msg", d.Action, "request", d.RequestID, "account", d.Account,
 		"route", d.Route, "to", d.Node, "reason", d.Reason, "attempt", d.Attempt, "depth", d.Depth,
 		"waitMs", int64(d.WaitMs), "factAgeMs", int64(d.FactAgeMs), "elapsedMs", int64(d.ElapsedMs))
 }
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -88,6 +88,7 @@
 	Peers         *peers.Table
 	LocalRunner   LocalRunner
 	Balancer      *passage.LockedBalancer
+	Placement     *Placement
 	RetryBudget   RetryBudget
 	Recorder      *decision.Recorder
 	Random        *rand.Rand
@@ -128,7 +129,8 @@
 			}
 			return s.finalResult(last, mayHaveRun)
 		}
-		v, choice, ok := s.chooseTarget(j.Service, excluded)
+		cost := s.Placement.expect(j, s.Clock.Now())
+		v, choice, ok := s.chooseTarget(j.Service, cost.MeanMs, excluded)
 		if !ok && !mayHaveRun && s.waitForTarget(ctx, j, waitUntil) {
 			clear(excluded)
 			continue
@@ -139,7 +141,7 @@
 		j.Resent = tried[v.Name]
 		excluded[v.Name], tried[v.Name] = true, true
 		j.Attempt = last.Attempts
-		reply, response := s.attempt(ctx, v, j, choice)
+		reply, response := s.attempt(ctx, v, j, choice, cost.AgeMs)
 		last = Result{Reply: reply, Response: response, Target: v.Name, Attempts: last.Attempts + 1}
 		if reply.OK() {
 			return last
@@ -184,16 +186,18 @@
 
 // chooseTarget lets the balancer choose among the targets of the service. If none is usable, it also considers those whose nodes
 // are leaving: they still serve requests that would otherwise be refused.
-func (s *Sender) chooseTarget(service string, excluded map[string]bool) (vm.VM, balance.Choice, bool) {
+func (s *Sender) chooseTarget(
+	service string, costMs float64, excluded map[string]bool,
+) (vm.VM, balance.Choice, bool) {
 	view := s.Values.View()
-	if v, choice, ok := s.chooseUsableTarget(view, service, excluded, s.Peers.Usable); ok {
+	if v, choice, ok := s.chooseUsableTarget(view, service, costMs, excluded, s.Peers.Usable); ok {
 		return v, choice, true
 	}
-	return s.chooseUsableTarget(view, service, excluded, s.Peers.Reachable)
+	return s.chooseUsableTarget(view, service, costMs, excluded, s.Peers.Reachable)
 }
 
 func (s *Sender) chooseUsableTarget(
-	view *directory.View, service string, excluded map[string]bool, usable func(address string) bool,
+	view *directory.View, service string, costMs float64, excluded map[string]bool, usable func(address string) bool,
 ) (vm.VM, balance.Choice, bool) {
 	vms := view.VMsOfService(service)
 	candidates := make([]balance.Candidate, 0, len(vms))
@@ -207,7 +211,7 @@
 		}
 		candidates = append(candidates, c)
 	}
-	choice, ok := s.Balancer.Choose(candidates, nil, s.Clock.Now())
+	choice, ok := s.Balancer.ChooseForCost(costMs, candidates, s.Clock.Now())
 	if !ok {
 		return vm.VM{}, choice, false
 	}
@@ -239,18 +243,21 @@
 	return j.ObjectiveMs / targetWaitDivisor
 }
 
-// attempt sends the job to one target.
-func (s *Sender) attempt(ctx context.Context, v vm.VM, j Job, choice balance.Choice) (dispatch.Reply, *upstream.Response) {
+// attempt sends the job to one target. costAgeMs is the age of the estimate of its cost.
+func (s *Sender) attempt(
+	ctx context.Context, v vm.VM, j Job, choice balance.Choice, costAgeMs clock.Millis,
+) (dispatch.Reply, *upstream.Response) {
 	now := s.Clock.Now()
 	j.Target, j.TargetStatus = v.Name, s.statuses.get(lifetime(v))
 	j.Sender, j.TimeoutMs = s.Incarnation, max(0, s.deadline(j)-now)
-	s.Balancer.Started(v.Name, now)
+	s.Balancer.StartedWork(v.Name, choice.Work.CostMs, now)
 	start := time.Now()
 	reply, response := s.deliver(ctx, v, j)
 	result := balance.CallResult{
 		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
 		Failed:    isTargetFailure(reply),
 		Refused:   !reply.OK() && reply.Run == call.NotRun,
+		CostMs:    choice.Work.CostMs, TargetMs: reply.TargetMs,
 	}
 	if reply.Load.Limit > 0 {
 		load := reply.Load
@@ -258,10 +265,12 @@
 	}
 	s.Balancer.Finished(v.Name, result, s.Clock.Now())
 	s.statuses.record(lifetime(v), reply, s.Clock.Now())
+	s.Placement.observe(j, reply, s.Clock.Now())
 	s.Recorder.Record(decision.Decision{
 		AtMs: s.Clock.Now(), Part: decision.PartPassage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
 		Action: "request sent to target", Node: v.Name, Reason: reply.Reason, Attempt: j.Attempt,
 		WaitMs: clock.Millis(choice.WaitMs), FactAgeMs: choice.LoadAgeMs, ElapsedMs: s.Clock.Now() - now,
+		Cost: decision.NewCost(choice.Work, costAgeMs),
 	})
 	return reply, response
 }
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -153,7 +153,7 @@
 	deadline := r.senderDeadlines.limit(c.Sender, received+c.TimeoutMs)
 	waiting, cancel := context.WithTimeout(ctx, (deadline - received).Duration())
 	defer cancel()
-	d := r.admit(waiting, c, received, deadline)
+	d := r.admit(waiting, c, len(request.Body), received, deadline)
 	if !d.Admitted {
 		if d.Reason == call.ReasonTargetLimited {
 			r.status.countRefused()
@@ -172,14 +172,13 @@
 	}
 	// The sender may have begun to stop while the request waited.
 	deadline = r.senderDeadlines.limit(c.Sender, deadline)
-	reply, response := r.runAtTarget(ctx, c, request, deadline-r.Clock.Now())
+	var sample gate.Sample
+	reply, response := r.runAtTarget(ctx, c, request, deadline-r.Clock.Now(), &sample)
 	reply.TargetMs = float64(time.Since(start).Microseconds()) / 1000
 	reply.InnerRefused = r.innerRefused(response, admitted)
-	sample := gate.Sample{
-		LatencyMs: reply.TargetMs,
-		Failed:    !reply.OK() || response.Status >= http.StatusInternalServerError,
-		Cancelled: errors.Is(ctx.Err(), context.Canceled),
-	}
+	sample.LatencyMs = reply.TargetMs
+	sample.Failed = !reply.OK() || response.Status >= http.StatusInternalServerError
+	sample.Cancelled = errors.Is(ctx.Err(), context.Canceled)
 	if response == nil {
 		r.Admission.Done(d.ID, sample)
 		return reply, nil
@@ -188,7 +187,7 @@
 	return reply, response
 }
 
-func (r *Runner) admit(ctx context.Context, c dispatch.Context, now, deadline clock.Millis) gate.Decision {
+func (r *Runner) admit(ctx context.Context, c dispatch.Context, bodyBytes int, now, deadline clock.Millis) gate.Decision {
 	class := c.Class
 	depth := 0
 	if c.Inner {
@@ -197,7 +196,7 @@
 	}
 	d := r.Admission.Admit(ctx, gate.Request{
 		Account: c.Account, Class: class, Depth: depth, Arrival: now, Deadline: deadline, Target: c.Target,
-		Sender: c.Sender,
+		Sender: c.Sender, Route: c.Route, BodyBytes: bodyBytes,
 	})
 	if d.Reason == call.ReasonCallerGone && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		d.Reason = call.ReasonDeadlineExceeded
@@ -205,9 +204,9 @@
 	return d
 }
 
-// runAtTarget sends an admitted request to the target.
+// runAtTarget sends an admitted request to the target. It records in the sample what the target's answer says of its load.
 func (r *Runner) runAtTarget(
-	ctx context.Context, c dispatch.Context, request *upstream.Request, left clock.Millis,
+	ctx context.Context, c dispatch.Context, request *upstream.Request, left clock.Millis, sample *gate.Sample,
 ) (dispatch.Reply, *upstream.Response) {
 	if left <= 0 {
 		return refuse(call.ReasonDeadlineExceeded), nil
@@ -240,6 +239,10 @@
 	said := r.Dialect.ReadTarget(response.Status, response.Header)
 	if (said.FromTarget || said.NotRun) && !said.WrongTarget {
 		r.status.observe(r.lifetime(c.Target), said.Status, r.Clock.Now())
+		sample.Answered = true
+		if said.Load != nil {
+			sample.SlownessPercent = said.Load.SlownessPercent
+		}
 	}
 	switch {
 	case said.WrongTarget:
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -42,6 +42,7 @@
 	"coltsfootusher.example/core/intake"
 	"coltsfootusher.example/core/split"
 	"coltsfootusher.example/core/vm"
+	"coltsfootusher.example/core/workcost"
 )
 
 // Error is the class of errors that prevent a node from starting or make it exit.
@@ -86,6 +87,8 @@
 	crashGuard  *crash.Guard
 	limiter     *quotas.Limiter
 	admission   *gateway.Admission
+	costs       *workcost.Estimator
+	placement   *forward.Placement
 	runner      *localtarget.Runner
 	handler     *forward.Handler
 	recorder    *decision.Recorder
@@ -146,6 +149,8 @@
 	})
 	n.buildRequestPath(dialect)
 	n.runner.Publish(metrics, n.ownTargetID)
+	n.placement.Publish(metrics)
+	metrics.Set("targetCost", expvar.Func(n.targetCost))
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -160,6 +165,8 @@
 		Logger: logging.WithPart(n.logger, "crash"),
 	})
 	n.admission = gateway.NewAdmission(gateway.NewGate(n.incarnation, n.clock.Now()), n.clock)
+	n.estimateCosts()
+	n.placement = forward.NewPlacement(s.CostPlacement, logging.WithPart(n.logger, "passage"))
 	n.health.Attach(n.directory, n.chargeRate)
 	n.setSlots(initialSlots)
 	n.runner = localtarget.New(localtarget.Config{
@@ -181,6 +188,7 @@
 			Address: s.PeerAddress, Incarnation: n.incarnation, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory,
 			Peers: n.peers, LocalRunner: n.runner,
 			Balancer:    passage.NewLockedBalancer(n.incarnation, balance.DefaultConfig(s.FailureDomain)),
+			Placement:   n.placement,
 			RetryBudget: n.retryBudget,
 			Recorder:    n.recorder, Random: rand.New(rand.NewPCG(n.incarnation, 3)),
 			Logger: logging.WithPart(n.logger, "passage"),
--- a/coltsfootd/meshsetting/meshsetting.go
+++ b/coltsfootd/meshsetting/meshsetting.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"coltsfootusher.example/core/clock"
+	"coltsfootusher.example/core/workcost"
 )
 
 // Error is the class of errors in settings.
@@ -64,6 +65,10 @@
 	RetryShare float64 `yaml:"retryShare"`
 	RetrySlack float64 `yaml:"retrySlack"`
 
+	// CostPlacement says for which services targets are chosen by the expected cost of requests: those whose targets report their
+	// slowness (auto), all (on) or none (off).
+	CostPlacement workcost.Mode `yaml:"costPlacement"`
+
 	// MemoryMB is the memory limit of the process, in MB; 0 means no limit.
 	MemoryMB float64 `yaml:"memoryMB"`
 
@@ -80,7 +85,8 @@
 func Default() Settings {
 	return Settings{
 		KeyLeaseSeconds: 5, ConfigSeconds: 2, GraceSeconds: 6, RetryShare: 0.2, RetrySlack: 48, MaxFiles: 4096,
-		LogLevel: "info", LogFormat: "logfmt", LogLinesPerSecond: 30,
+		CostPlacement: workcost.Auto,
+		LogLevel:      "info", LogFormat: "logfmt", LogLinesPerSecond: 30,
 	}
 }
 
@@ -131,6 +137,9 @@
 	if s.RetryShare < 0 || s.RetrySlack < 0 || s.MemoryMB < 0 || s.LogLinesPerSecond < 0 {
 		return Error.New("retryShare, retrySlack, memoryMB and logLinesPerSecond must not be negative")
 	}
+	if !s.CostPlacement.IsValid() {
+		return Error.New("costPlacement must be auto, on or off, got %q", s.CostPlacement)
+	}
 	return nil
 }
 
--- a/coltsfootd/meshsetting/meshsetting_test.go
+++ b/coltsfootd/meshsetting/meshsetting_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootusher.example/coltsfootd/meshsetting"
+	"coltsfootusher.example/core/workcost"
 )
 
 const validSettings = `nodeName: "n"
@@ -39,6 +40,7 @@
 	assert.Equal(t, s.GraceSeconds.Millis().Duration().String(), "500ms")
 	assert.Equal(t, s.PeerAddrPort().Port(), uint16(2))
 	assert.Equal(t, s.RetrySlack, 48.0)
+	assert.Equal(t, s.CostPlacement, workcost.Auto)
 }
 
 // Guards against starting a node with settings with which it can't work.
@@ -48,6 +50,7 @@
 		"address":     strings.Replace(validSettings, "127.0.0.1:4", "target", 1),
 		"missing":     strings.Replace(validSettings, "nodeName: \"n\"\n", "", 1),
 		"duration":    strings.Replace(validSettings, "keyLeaseSeconds: 5", "keyLeaseSeconds: 0", 1),
+		"placement":   validSettings + "costPlacement: always\n",
 		"negative":    strings.Replace(validSettings, "memoryMB: 284", "memoryMB: -1", 1),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/coltsfootd/passage/locked.go
+++ b/coltsfootd/passage/locked.go
@@ -41,6 +41,22 @@
 	return b.balancer.Choose(candidates, exclude, now)
 }
 
+// ChooseForCost selects one of the candidates for a request with the expected slot time; 0 means that it is not known.
+func (b *LockedBalancer) ChooseForCost(
+	costMs float64, candidates []balance.Candidate, now clock.Millis,
+) (balance.Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balancer.ChooseForCost(costMs, candidates, nil, now)
+}
+
+// StartedWork reports that a call with the expected slot time was sent to the node.
+func (b *LockedBalancer) StartedWork(node string, costMs float64, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.StartedWork(node, costMs, now)
+}
+
 // Started reports that a call was sent to the node.
 func (b *LockedBalancer) Started(node string, now clock.Millis) {
 	b.mu.Lock()
--- a/core/workcost/estimator.go
+++ b/core/workcost/estimator.go
@@ -58,6 +58,9 @@
 
 // Estimator estimates the slot times of requests at one target.
 type Estimator struct {
+	// OnSwitch is called when a report, or the lack of reports, turns the estimates on or off; it may be nil.
+	OnSwitch func(on bool)
+
 	book     *Book
 	active   *Switch
 	slowness Slowness
@@ -76,8 +79,8 @@
 // Observe records the end of a request. percent is the slowness that came with the target's answer, 0 if none did, and answered
 // tells whether the target answered at all. Nothing is learned while the part is off.
 func (e *Estimator) Observe(k Key, s Sample, percent int, answered bool, now clock.Millis) {
-	if answered {
-		e.active.Observe(percent > 0)
+	if answered && e.active.Observe(percent > 0) && e.OnSwitch != nil {
+		e.OnSwitch(e.On())
 	}
 	if !e.On() {
 		return
