--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -61,7 +61,7 @@
 func (plainDialect) ReadTarget(status int, h http.Header) dialect.TargetAnswer {
 	return dialect.TargetAnswer{
 		FromTarget: h.Get("By") != "", WrongTarget: status == http.StatusMisdirectedRequest, NotRun: h.Get("Not-Run") != "",
-		Status: readStatus(h),
+		Status: readStatus(h), Load: readLoad(h),
 	}
 }
 
@@ -188,8 +188,10 @@
 	// one arrives, which it runs.
 	repeatRefusals atomic.Bool
 	// limit is the value of the limit header, or "" for none.
-	limit   atomic.Value
-	release chan struct{}
+	limit atomic.Value
+	// slowness is the slowness that the target reports in percent; 0 for none.
+	slowness atomic.Int64
+	release  chan struct{}
 	// server is stopped by a request for crashPath.
 	server      *httptest.Server
 	releaseOnce sync.Once
@@ -292,6 +294,9 @@
 	if limit, _ := tg.limit.Load().(string); limit != "" {
 		w.Header().Set("Limit", limit)
 	}
+	if percent := tg.slowness.Load(); percent > 0 {
+		w.Header().Set("Slowness", strconv.FormatInt(percent, 10))
+	}
 	if tg.leaving.Load() {
 		w.Header().Set("Leaving", "1")
 	}
--- a/core/gate/cost_test.go
+++ b/core/gate/cost_test.go
@@ -111,3 +111,25 @@
 		assert.Equal(t, logs[0], logs[1])
 	}
 }
+
+// BenchmarkOfferDoneWithCosts measures a call and its report at a gate that estimates costs, with half of its slots in use.
+func BenchmarkOfferDoneWithCosts(b *testing.B) {
+	for name, costs := range map[string]bool{"on": true, "off": false} {
+		b.Run(name, func(b *testing.B) {
+			g := newGate(Config{Slots: 90, QueueLimit: 200})
+			if costs {
+				g = newCostGate(90)
+			}
+			id := uint64(10_000)
+			for ; id < 10_045; id++ {
+				g.Offer(routed(id, "long", 0), 0)
+			}
+			for b.Loop() {
+				id++
+				g.Offer(routed(id, "short", 0), 0)
+				g.Done(id, Sample{LatencyMs: 57, Answered: true, SlownessPercent: 100}, 0)
+				g.Load(0)
+			}
+		})
+	}
+}
--- a/core/workcost/workcost_test.go
+++ b/core/workcost/workcost_test.go
@@ -165,3 +165,12 @@
 	on, off := NewSwitch(On), NewSwitch(Off)
 	assert.Assert(t, !off.Observe(true) && !off.On() && on.On())
 }
+
+func BenchmarkObserveAndEstimate(bm *testing.B) {
+	b, k := New(), Key{Service: "s", Route: "r", Size: 1}
+	observe(b, k, 100, 50, 0)
+	for bm.Loop() {
+		b.Observe(k, Sample{SlotMs: 50, Slowness: 1.2}, 0)
+		b.Estimate(k, 0)
+	}
+}
