Show where a node would send a request now, and why

coltsfootctl route asks nodes (operator address, /route) for the route, the account, the expected cost and the candidates with their shares of 100 choices, estimates, ages and reasons for being left out. The preview runs the code of the decision with a random source of its own; tests show that it sends nothing and that later choices are the same. Rate limits are not checked, since that takes tokens. The key is read from standard input and sent in a header, so that it is in no address or log line. Tested: core/balance and coltsfootd/mesh with the race detector, coltsfootctl.

--- a/coltsfootctl/cmd/cmd.go
+++ b/coltsfootctl/cmd/cmd.go
@@ -29,6 +29,7 @@
   coltsfootctl status --node 127.0.0.1:21301 --node 127.0.0.1:21302
   coltsfootctl status --nodes-file operators.txt --output json
   coltsfootctl explain --nodes-file operators.txt 5f0c2a9e6b1d4c3a8e7f0b12
+  coltsfootctl route --node 127.0.0.1:21301 --host api.example --key-stdin /orders/7 < key.txt
   coltsfootctl hash-key < key.txt
 
 Completion in bash or zsh:
@@ -68,7 +69,7 @@
 			panic(reason)
 		}
 	}()
-	commands := []command{checkCommand(app), statusCommand(app), explainCommand(app), hashKeyCommand(app)}
+	commands := []command{checkCommand(app), statusCommand(app), explainCommand(app), routeCommand(app), hashKeyCommand(app)}
 
 	name, err := app.Parse(args)
 	if err != nil {
--- a/coltsfootctl/node/node.go
+++ b/coltsfootctl/node/node.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/operator"
+	"coltsfootusher.example/coltsfootd/preview"
 )
 
 // Error is the class of errors from node queries.
@@ -48,7 +50,33 @@
 	return queryAll[[]decision.Decision](ctx, addresses, "/explain?request="+url.QueryEscape(requestID), timeout)
 }
 
+// RouteRequest is a request of which nodes tell where they would send it.
+type RouteRequest struct {
+	Method, Host, Path, Key string
+	BodyBytes               int
+}
+
+// FetchRoutes asks each node where it would send the request, and returns the answers in the order of the addresses.
+func FetchRoutes(
+	ctx context.Context, addresses []string, r RouteRequest, timeout time.Duration,
+) []Result[preview.Answer] {
+	query := url.Values{
+		"method": {r.Method}, "host": {r.Host}, "path": {r.Path}, "body": {strconv.Itoa(r.BodyBytes)},
+	}
+	header := http.Header{}
+	if r.Key != "" {
+		header.Set(preview.KeyHeader, r.Key)
+	}
+	return queryAllWith[preview.Answer](ctx, addresses, preview.Path+"?"+query.Encode(), header, timeout)
+}
+
 func queryAll[T any](ctx context.Context, addresses []string, path string, timeout time.Duration) []Result[T] {
+	return queryAllWith[T](ctx, addresses, path, nil, timeout)
+}
+
+func queryAllWith[T any](
+	ctx context.Context, addresses []string, path string, header http.Header, timeout time.Duration,
+) []Result[T] {
 	results := make([]Result[T], len(addresses))
 	semaphore := make(chan struct{}, maxConcurrentRequests)
 	var wg sync.WaitGroup
@@ -57,20 +85,23 @@
 		wg.Go(func() {
 			defer func() { <-semaphore }()
 			results[i].Address = address
-			results[i].Err = fetchJSON(ctx, "http://"+address+path, timeout, &results[i].Value)
+			results[i].Err = fetchJSON(ctx, "http://"+address+path, header, timeout, &results[i].Value)
 		})
 	}
 	wg.Wait()
 	return results
 }
 
-func fetchJSON(ctx context.Context, url string, timeout time.Duration, result any) error {
+func fetchJSON(ctx context.Context, url string, header http.Header, timeout time.Duration, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return Error.Wrap(err)
--- /dev/null
+++ b/coltsfootctl/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing shows where nodes would send a request.
+package routing
--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -186,20 +186,8 @@
 
 // handle checks a request and, if it is admitted, sends it to a target.
 func (h *Handler) handle(in *inboundRequest) outcome {
-	if in.view = h.Values.View(); in.view == nil {
-		return refusal(call.ReasonNotReady, notReadyRetryAfterMs)
-	}
-	if reason := h.resolve(in); reason != "" {
-		if (reason == call.ReasonRouteUnknown || reason == call.ReasonKeyUnknown) && h.Values.Age() > h.StaleAfterMs {
-			reason = call.ReasonConfirmTimeout
-		}
-		return refusal(reason, notReadyRetryAfterMs)
-	}
-	if h.refuseCallers.Load() && (!in.inner || !h.Sender.mayFinish(in.route.Class, in.route.ObjectiveMs)) {
-		return refusal(call.ReasonLeaving, leavingRetryAfterMs)
-	}
-	if in.account.ID != "" && !h.Values.Fresh() {
-		return refusal(call.ReasonConfirmTimeout, notReadyRetryAfterMs)
+	if o := h.check(in); o.Reply.Reason != "" {
+		return o
 	}
 	if reason := h.readBody(in); reason != "" {
 		return refusal(reason, h.Sender.RetryAfter(overloadRetryAfterMs))
@@ -217,6 +205,26 @@
 	return o
 }
 
+// check resolves the request. The result has a reason if the request is refused before its body is read.
+func (h *Handler) check(in *inboundRequest) outcome {
+	if in.view = h.Values.View(); in.view == nil {
+		return refusal(call.ReasonNotReady, notReadyRetryAfterMs)
+	}
+	if reason := h.resolve(in); reason != "" {
+		if (reason == call.ReasonRouteUnknown || reason == call.ReasonKeyUnknown) && h.Values.Age() > h.StaleAfterMs {
+			reason = call.ReasonConfirmTimeout
+		}
+		return refusal(reason, notReadyRetryAfterMs)
+	}
+	if h.refuseCallers.Load() && (!in.inner || !h.Sender.mayFinish(in.route.Class, in.route.ObjectiveMs)) {
+		return refusal(call.ReasonLeaving, leavingRetryAfterMs)
+	}
+	if in.account.ID != "" && !h.Values.Fresh() {
+		return refusal(call.ReasonConfirmTimeout, notReadyRetryAfterMs)
+	}
+	return outcome{}
+}
+
 // resolve determines the route, client account, priority and timeout of the request.
 func (h *Handler) resolve(in *inboundRequest) call.Reason {
 	path, _, _ := strings.Cut(in.request.RequestURI, "?")
--- a/coltsfootd/forward/placement.go
+++ b/coltsfootd/forward/placement.go
@@ -65,17 +65,17 @@
 	return names
 }
 
-// expect returns the expected cost of the job, or a zero estimate if its target is not chosen by cost.
-func (p *Placement) expect(j Job, now clock.Millis) workcost.Estimate {
+// expect returns the expected cost of a request, or a zero estimate if its target is not chosen by cost.
+func (p *Placement) expect(k workcost.Key, now clock.Millis) workcost.Estimate {
 	if p.idle.Load() {
 		return workcost.Estimate{AgeMs: -1}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.switches[j.Service]; s == nil || !s.On() {
+	if s := p.switches[k.Service]; s == nil || !s.On() {
 		return workcost.Estimate{AgeMs: -1}
 	}
-	return p.book.Estimate(costKey(j), now)
+	return p.book.Estimate(k, now)
 }
 
 // observe learns from a reply. A reply without a load was made up because the node did not answer.
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -129,7 +129,7 @@
 			}
 			return s.finalResult(last, mayHaveRun)
 		}
-		cost := s.Placement.expect(j, s.Clock.Now())
+		cost := s.Placement.expect(costKey(j), s.Clock.Now())
 		v, choice, ok := s.chooseTarget(j.Service, cost.MeanMs, excluded)
 		if !ok && !mayHaveRun && s.waitForTarget(ctx, j, waitUntil) {
 			clear(excluded)
@@ -199,18 +199,7 @@
 func (s *Sender) chooseUsableTarget(
 	view *directory.View, service string, costMs float64, excluded map[string]bool, usable func(address string) bool,
 ) (vm.VM, balance.Choice, bool) {
-	vms := view.VMsOfService(service)
-	candidates := make([]balance.Candidate, 0, len(vms))
-	for _, v := range vms {
-		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
-			continue
-		}
-		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
-		if v.FailureDomain != s.FailureDomain {
-			c.NetworkDelayMs = crossDomainDelayMs
-		}
-		candidates = append(candidates, c)
-	}
+	candidates := s.candidates(view, service, excluded, usable)
 	choice, ok := s.Balancer.ChooseForCost(costMs, candidates, s.Clock.Now())
 	if !ok {
 		return vm.VM{}, choice, false
@@ -219,6 +208,32 @@
 	return v, choice, ok
 }
 
+// candidates returns the targets of the service that may get a request.
+func (s *Sender) candidates(
+	view *directory.View, service string, excluded map[string]bool, usable func(address string) bool,
+) []balance.Candidate {
+	vms := view.VMsOfService(service)
+	candidates := make([]balance.Candidate, 0, len(vms))
+	for _, v := range vms {
+		if s.isCandidate(v, usable) && !excluded[v.Name] {
+			candidates = append(candidates, s.candidate(v))
+		}
+	}
+	return candidates
+}
+
+func (s *Sender) isCandidate(v vm.VM, usable func(address string) bool) bool {
+	return v.State == vm.Live && (v.PeerAddress == s.Address || usable(v.PeerAddress))
+}
+
+func (s *Sender) candidate(v vm.VM) balance.Candidate {
+	c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
+	if v.FailureDomain != s.FailureDomain {
+		c.NetworkDelayMs = crossDomainDelayMs
+	}
+	return c
+}
+
 // waitForTarget waits before the next look for a target of the service, and reports false once a refusal helps the caller more
 // than waiting.
 func (s *Sender) waitForTarget(ctx context.Context, j Job, until clock.Millis) bool {
--- a/coltsfootd/mesh/cost_test.go
+++ b/coltsfootd/mesh/cost_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/meshsetting"
+	"coltsfootusher.example/coltsfootd/preview"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/workcost"
 )
@@ -32,17 +34,31 @@
 	}
 }
 
-// operatorGet returns the answer of the operator address of a node.
+// operatorGet decodes the answer of the operator address of a node.
 func (f *fleet) operatorGet(t *testing.T, node int, path string, v any) {
+	t.Helper()
+	f.operatorGetWith(t, node, path, nil, v)
+}
+
+func (f *fleet) operatorGetWith(t *testing.T, node int, path string, header http.Header, v any) {
 	t.Helper()
 	address := netip.AddrPortFrom(f.nodes[node].settings.PeerAddrPort().Addr(), f.nodes[node].settings.OperatorPort)
-	response, err := f.client.Get("http://" + address.String() + path)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address.String()+path, nil)
+	assert.NilError(t, err)
+	r.Header = header
+	response, err := f.client.Do(r)
 	assert.NilError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	assert.NilError(t, json.NewDecoder(response.Body).Decode(v))
 }
 
+func (f *fleet) operatorPreview(t *testing.T, node int, path, key string, a *preview.Answer) {
+	t.Helper()
+	*a = preview.Answer{}
+	f.operatorGetWith(t, node, preview.Path+"?path="+url.QueryEscape(path), http.Header{preview.KeyHeader: {key}}, a)
+}
+
 // costOfLastChoice returns the facts of the choice of a target for the last request.
 func (f *fleet) costOfLastChoice(t *testing.T, node int) *decision.Cost {
 	t.Helper()
@@ -93,3 +109,29 @@
 	assert.Equal(t, f.metric(1, "costPlacementServices"), "[]")
 	assert.Equal(t, f.metric(0, "targetCost"), `{"on":false,"slownessPercent":0,"outstandingMs":0,"keys":0}`)
 }
+
+// Load: single previews between requests. Guards against a preview that sends a request, changes the state of the node, or
+// decides otherwise than the node does, and against an answer without the reason of a refusal.
+func TestPreviewTellsTheDecisionAndSendsNothing(t *testing.T) {
+	f := newFleetWith(t, withOperatorPort(t, workcost.Auto), "voids", "voids", "riders")
+	f.targets[0].slowness.Store(400)
+	f.targets[1].slowness.Store(100)
+	f.sendFor(t, 300*time.Millisecond)
+	runs := f.targets[0].runs.Load() + f.targets[1].runs.Load()
+	keys := f.metric(2, "costPlacementKeys")
+	var a preview.Answer
+	for range 20 {
+		f.operatorPreview(t, 2, "/voidlist/1", "secret", &a)
+	}
+	assert.Equal(t, f.targets[0].runs.Load()+f.targets[1].runs.Load(), runs)
+	assert.Equal(t, f.metric(2, "costPlacementKeys"), keys)
+	assert.Equal(t, a.Reason, call.Reason(""))
+	assert.Equal(t, a.Account, "a1")
+	service := a.Services[0]
+	assert.Assert(t, service.Service == "voids" && service.ByCost && service.CostMs > 0, "%+v", service)
+	assert.Assert(t, service.Candidates[1].Share > service.Candidates[0].Share, "%+v", service)
+	f.operatorPreview(t, 2, "/voidlist/1", "wrong", &a)
+	assert.Assert(t, a.Reason != "" && len(a.Services) == 0, "%+v", a)
+	f.operatorPreview(t, 2, "/unknown", "secret", &a)
+	assert.Equal(t, a.Reason, call.ReasonRouteUnknown)
+}
--- a/coltsfootd/mesh/serve.go
+++ b/coltsfootd/mesh/serve.go
@@ -1,11 +1,15 @@
 package mesh
 
 import (
+	"cmp"
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"strconv"
 
+	"coltsfootusher.example/coltsfootd/forward"
 	"coltsfootusher.example/coltsfootd/peers"
+	"coltsfootusher.example/coltsfootd/preview"
 	"coltsfootusher.example/core/dispatch"
 )
 
@@ -39,9 +43,34 @@
 		}
 		writeJSON(w, n.recorder.Explain(id))
 	})
+	mux.HandleFunc("GET "+preview.Path, n.servePreview)
 	return mux
 }
 
+// servePreview tells where a request would be sent now, without sending it.
+func (n *Node) servePreview(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	p := forward.PreviewRequest{
+		Method: cmp.Or(query.Get("method"), http.MethodGet), Host: query.Get("host"), Path: query.Get("path"),
+		Key: r.Header.Get(preview.KeyHeader),
+	}
+	if p.Path == "" {
+		http.Error(w, "the parameter path is missing", http.StatusBadRequest)
+		return
+	}
+	if text := query.Get("body"); text != "" {
+		size, err := strconv.Atoi(text)
+		if err != nil || size < 0 {
+			http.Error(w, "the parameter body must be a number of bytes", http.StatusBadRequest)
+			return
+		}
+		p.BodyBytes = size
+	}
+	a := n.handler.Preview(p)
+	a.Node = n.settings.NodeName
+	writeJSON(w, a)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // Fails only if the client has disconnected.
--- a/coltsfootd/passage/locked.go
+++ b/coltsfootd/passage/locked.go
@@ -50,6 +50,22 @@
 	return b.balancer.ChooseForCost(costMs, candidates, nil, now)
 }
 
+// Preview makes a choice without any effect on later choices; see balance.Balancer.Preview.
+func (b *LockedBalancer) Preview(
+	costMs float64, candidates []balance.Candidate, random *rand.Rand, now clock.Millis,
+) (int, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balancer.Preview(costMs, candidates, random, now)
+}
+
+// Facts returns what a choice knows about a candidate.
+func (b *LockedBalancer) Facts(costMs float64, candidates []balance.Candidate, i int, now clock.Millis) balance.CandidateFacts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balancer.Facts(costMs, candidates, i, now)
+}
+
 // StartedWork reports that a call with the expected slot time was sent to the node.
 func (b *LockedBalancer) StartedWork(node string, costMs float64, now clock.Millis) {
 	b.mu.Lock()
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -138,14 +138,7 @@
 	if b.config.RoundRobin {
 		return b.chooseRoundRobin(candidates, exclude, now)
 	}
-	s := selection{balancer: b, candidates: candidates, exclude: exclude, now: now, costMs: costMs}
-	s.maxEjected = min(int(b.config.MaxEjectedFraction*float64(len(candidates))), len(candidates)-1)
-	chosen, ok := s.choose()
-	if !ok {
-		// All remaining nodes are ejected, for example because the others are excluded.
-		s.maxEjected = 0
-		chosen, ok = s.choose()
-	}
+	chosen, ok := b.selectNode(b.newSelection(costMs, candidates, exclude, b.random, now))
 	if !ok {
 		return Choice{}, false
 	}
@@ -157,6 +150,26 @@
 	return choice, true
 }
 
+func (b *Balancer) newSelection(
+	costMs float64, candidates []Candidate, exclude map[string]bool, random *rand.Rand, now clock.Millis,
+) selection {
+	return selection{
+		balancer: b, candidates: candidates, exclude: exclude, random: random, now: now, costMs: costMs,
+		maxEjected: min(int(b.config.MaxEjectedFraction*float64(len(candidates))), len(candidates)-1),
+	}
+}
+
+// selectNode returns the index of the chosen candidate.
+func (b *Balancer) selectNode(s selection) (int, bool) {
+	chosen, ok := s.choose()
+	if !ok {
+		// All remaining nodes are ejected, for example because the others are excluded.
+		s.maxEjected = 0
+		chosen, ok = s.choose()
+	}
+	return chosen, ok
+}
+
 // Started counts a call that is sent to the node.
 func (b *Balancer) Started(name string, _ clock.Millis) {
 	b.node(name).inFlight++
--- a/core/balance/selection.go
+++ b/core/balance/selection.go
@@ -1,12 +1,17 @@
 package balance
 
-import "coltsfootusher.example/core/clock"
+import (
+	"math/rand/v2"
+
+	"coltsfootusher.example/core/clock"
+)
 
 // selection is the choice of one node among candidates. It refers to candidates by index to avoid allocations.
 type selection struct {
 	balancer   *Balancer
 	candidates []Candidate
 	exclude    map[string]bool
+	random     *rand.Rand
 	maxEjected int
 	now        clock.Millis
 	// costMs is the expected slot time of the request at the usual speed; 0 if it is not known.
@@ -39,12 +44,12 @@
 	if count == 0 {
 		return 0, false
 	}
-	first := s.balancer.random.IntN(count)
+	first := s.random.IntN(count)
 	if count == 1 {
 		only, _ := s.nthUsable(first, first, local)
 		return only, true
 	}
-	second := s.balancer.random.IntN(count - 1)
+	second := s.random.IntN(count - 1)
 	if second >= first {
 		second++
 	}
@@ -83,8 +88,12 @@
 	if n == nil {
 		return true
 	}
-	leaving := n.load.Leaving && s.now < n.loadAt+s.balancer.config.AvoidLeavingMs
-	return !leaving && !s.isEjected(i, n)
+	return !s.isLeaving(n) && !s.isEjected(i, n)
+}
+
+// isLeaving reports whether the node has said lately that it takes no new calls.
+func (s *selection) isLeaving(n *node) bool {
+	return n.load.Leaving && s.now < n.loadAt+s.balancer.config.AvoidLeavingMs
 }
 
 // isEjected reports whether the candidate is ejected. Only the maxEjected candidates with the longest ejections are.
--- a/core/balance/work_test.go
+++ b/core/balance/work_test.go
@@ -119,3 +119,24 @@
 		})
 	}
 }
+
+// Load: previews between choices. Guards against a preview that changes later choices, and against one that decides otherwise.
+func TestPreviewChoosesAlikeAndChangesNothing(t *testing.T) {
+	var logs [2]string
+	for i := range logs {
+		b, cs := newBalancer(), candidates("x", "x", "x", "y")
+		reportWork(b, "a", call.Load{Running: 10, Waiting: 40, Limit: 10, WorkMs: 90_000, SlownessPercent: 300}, 1000)
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 500 {
+			if i == 1 {
+				previewed, ok := b.Preview(50, cs, random, 1000)
+				assert.Assert(t, ok && cs[previewed].Node != "a")
+				assert.Assert(t, b.Facts(50, cs, previewed, 1000).Work.CostMs == 50)
+			}
+			choice, _ := b.ChooseForCost(50, cs, nil, 1000)
+			logs[i] += choice.Node
+		}
+		assert.Equal(t, len(b.nodes), 1)
+	}
+	assert.Equal(t, logs[0], logs[1])
+}
