Ignore failures before the first success in estimates of cost

A request that failed at once, as the first of its route, made the route look free until enough successes had arrived. A failed or cancelled request now counts only if it took longer than what is expected of it. Tested: core/workcost; also that the values on and off of costPlacement are read without quotes.

--- a/coltsfootctl/routing/routing.go
+++ b/coltsfootctl/routing/routing.go
@@ -50,8 +50,9 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	lines := fmt.Sprintf("service %s, weight %v, chosen by expected wait\n", s.Service, s.Weight)
 	if s.ByCost {
-		lines = fmt.Sprintf(
-			"service %s, weight %v, chosen by expected completion; cost %.0f ms, 90%% below %.0f ms, last sample %s ago\n", s.Service, s.Weight, s.CostMs, s.HighMs, age(int64(s.CostAgeMs)))
+		lines = fmt.Sprintf("service %s, weight %v, chosen by expected completion; "+
+			"cost %.0f ms, 90%% below %.0f ms, last sample %s ago\n",
+			s.Service, s.Weight, s.CostMs, s.HighMs, age(int64(s.CostAgeMs)))
 	}
 	if s.Reason != "" {
 		lines += fmt.Sprintf("  no target, because %s (%s)\n", explanation.DescribeReason(s.Reason), s.Reason)
--- a/coltsfootd/meshsetting/meshsetting_test.go
+++ b/coltsfootd/meshsetting/meshsetting_test.go
@@ -41,6 +41,11 @@
 	assert.Equal(t, s.PeerAddrPort().Port(), uint16(2))
 	assert.Equal(t, s.RetrySlack, 48.0)
 	assert.Equal(t, s.CostPlacement, workcost.Auto)
+	for _, mode := range []workcost.Mode{workcost.On, workcost.Off} {
+		s, err := loadSettings(t, validSettings+"costPlacement: "+string(mode)+"\n")
+		assert.NilError(t, err)
+		assert.Equal(t, s.CostPlacement, mode)
+	}
 }
 
 // Guards against starting a node with settings with which it can't work.
--- a/core/workcost/book.go
+++ b/core/workcost/book.go
@@ -100,6 +100,10 @@
 		s.Slowness = 1
 	}
 	ms := s.SlotMs / s.Slowness
+	// A fast failure says nothing about the duration of a successful request, and nothing at all is known before the first success.
+	if expected := b.Estimate(k, now).MeanMs; s.LowerBound && (expected == 0 || ms <= expected) {
+		return
+	}
 	b.observe(Key{Service: k.Service}, ms, s.LowerBound, now)
 	b.observe(Key{Service: k.Service, Route: k.Route}, ms, s.LowerBound, now)
 	if k.Size > 0 {
@@ -107,8 +111,7 @@
 	}
 }
 
-// observe adds a sample to one key. A lower bound can only raise the estimate, because a fast failure says nothing about the
-// duration of a successful request.
+// observe adds a sample to one key. A lower bound can only raise its estimate.
 func (b *Book) observe(k Key, ms float64, lowerBound bool, now clock.Millis) {
 	if d := b.get(k); lowerBound && d != nil && ms <= d.meanMs {
 		return
--- a/core/workcost/workcost_test.go
+++ b/core/workcost/workcost_test.go
@@ -95,7 +95,11 @@
 // cheap.
 func TestFailedRequestsOnlyRaiseTheEstimate(t *testing.T) {
 	b, k := New(), Key{Service: "s", Route: "r"}
+	b.Observe(k, Sample{SlotMs: 1, Slowness: 1, LowerBound: true}, 0)
+	assert.Equal(t, b.Len(), 0)
 	observe(b, k, 100, 50, 0)
+	b.Observe(Key{Service: "s", Route: "new"}, Sample{SlotMs: 1, Slowness: 1, LowerBound: true}, 0)
+	about(t, b.Estimate(Key{Service: "s", Route: "new"}, 0).MeanMs, 50, 0.01)
 	for range 100 {
 		b.Observe(k, Sample{SlotMs: 1, Slowness: 1, LowerBound: true}, 0)
 	}
