Choose targets without allocation, in a little more than half of the time

The list of candidates is reused, and a choice looks at each candidate once instead of up to three times; the random draws and the decisions are the same.

--- a/coltsfootd/forward/preview.go
+++ b/coltsfootd/forward/preview.go
@@ -85,7 +85,7 @@
 func (s *Sender) previewShares(
 	view *directory.View, service string, costMs float64, usable func(address string) bool,
 ) map[string]float64 {
-	candidates := s.candidates(view, service, nil, usable)
+	candidates := s.appendCandidates(nil, view, service, nil, usable)
 	random := rand.New(rand.NewPCG(rand.Uint64(), 0))
 	shares := make(map[string]float64)
 	for range previewChoices {
@@ -98,7 +98,7 @@
 
 // previewFacts returns what a choice knows about the usable targets of a service.
 func (s *Sender) previewFacts(view *directory.View, service string, costMs float64) map[string]preview.Candidate {
-	candidates := s.candidates(view, service, nil, s.Peers.Usable)
+	candidates := s.appendCandidates(nil, view, service, nil, s.Peers.Usable)
 	facts := make(map[string]preview.Candidate, len(candidates))
 	for i, c := range candidates {
 		f := s.Balancer.Facts(costMs, candidates, i, s.Clock.Now())
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -102,6 +102,7 @@
 	statuses *targetStatuses
 	// stopBy is the time after which this node passes on no responses, because it stops; clock.Never while it doesn't.
 	stopBy atomic.Int64
+	lists  candidateLists
 }
 
 // NewSender returns a sender with the given dependencies.
@@ -199,7 +200,8 @@
 func (s *Sender) chooseUsableTarget(
 	view *directory.View, service string, costMs float64, excluded map[string]bool, usable func(address string) bool,
 ) (vm.VM, balance.Choice, bool) {
-	candidates := s.candidates(view, service, excluded, usable)
+	candidates := s.appendCandidates(s.lists.take(), view, service, excluded, usable)
+	defer s.lists.put(candidates)
 	choice, ok := s.Balancer.ChooseForCost(costMs, candidates, s.Clock.Now())
 	if !ok {
 		return vm.VM{}, choice, false
@@ -208,32 +210,25 @@
 	return v, choice, ok
 }
 
-// candidates returns the targets of the service that may get a request.
-func (s *Sender) candidates(
-	view *directory.View, service string, excluded map[string]bool, usable func(address string) bool,
+// appendCandidates appends the targets of the service that may get a request.
+func (s *Sender) appendCandidates(
+	candidates []balance.Candidate, view *directory.View, service string, excluded map[string]bool, usable func(address string) bool,
 ) []balance.Candidate {
 	vms := view.VMsOfService(service)
-	candidates := make([]balance.Candidate, 0, len(vms))
-	for _, v := range vms {
-		if s.isCandidate(v, usable) && !excluded[v.Name] {
-			candidates = append(candidates, s.candidate(v))
+	for i := range vms {
+		v := &vms[i]
+		if v.State != vm.Live || excluded[v.Name] || v.PeerAddress != s.Address && !usable(v.PeerAddress) {
+			continue
+		}
+		c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
+		if v.FailureDomain != s.FailureDomain {
+			c.NetworkDelayMs = crossDomainDelayMs
 		}
+		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
-func (s *Sender) isCandidate(v vm.VM, usable func(address string) bool) bool {
-	return v.State == vm.Live && (v.PeerAddress == s.Address || usable(v.PeerAddress))
-}
-
-func (s *Sender) candidate(v vm.VM) balance.Candidate {
-	c := balance.Candidate{Node: v.Name, FailureDomain: v.FailureDomain, Slots: v.Slots}
-	if v.FailureDomain != s.FailureDomain {
-		c.NetworkDelayMs = crossDomainDelayMs
-	}
-	return c
-}
-
 // waitForTarget waits before the next look for a target of the service, and reports false once a refusal helps the caller more
 // than waiting.
 func (s *Sender) waitForTarget(ctx context.Context, j Job, until clock.Millis) bool {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -112,6 +112,8 @@
 	// latencyMs is the moving mean over all nodes. It is used for a node that has not responded yet, since a new node
 	// would otherwise seem to have no wait, however many calls it gets.
 	latencyMs float64
+	// usable is kept between choices, so that they don't allocate.
+	usable []int
 }
 
 // New returns a balancer without any recorded loads.
--- a/core/balance/selection.go
+++ b/core/balance/selection.go
@@ -35,49 +35,32 @@
 
 // bestOfTwo returns the better of two random usable candidates, from the local failure domain or from the others.
 func (s *selection) bestOfTwo(local bool) (int, bool) {
-	count := 0
+	usable := s.balancer.usable[:0]
 	for i := range s.candidates {
 		if s.isUsable(i, local) {
-			count++
+			usable = append(usable, i)
 		}
 	}
+	s.balancer.usable = usable
+	count := len(usable)
 	if count == 0 {
 		return 0, false
 	}
 	first := s.random.IntN(count)
 	if count == 1 {
-		only, _ := s.nthUsable(first, first, local)
-		return only, true
+		return usable[first], true
 	}
 	second := s.random.IntN(count - 1)
 	if second >= first {
 		second++
 	}
-	a, b := s.nthUsable(first, second, local)
+	a, b := usable[first], usable[second]
 	if s.isBetter(b, a) {
 		return b, true
 	}
 	return a, true
 }
 
-// nthUsable returns the indices of the usable candidates with the ordinal numbers first and second, counted from 0.
-func (s *selection) nthUsable(first, second int, local bool) (a, b int) {
-	last := max(first, second)
-	for i, n := 0, 0; n <= last && i < len(s.candidates); i++ {
-		if !s.isUsable(i, local) {
-			continue
-		}
-		if n == first {
-			a = i
-		}
-		if n == second {
-			b = i
-		}
-		n++
-	}
-	return a, b
-}
-
 // isUsable reports whether the candidate is on the given side and is not excluded, leaving or ejected.
 func (s *selection) isUsable(i int, local bool) bool {
 	c := &s.candidates[i]
