--- a/coltsfootd/forward/choice_test.go
+++ b/coltsfootd/forward/choice_test.go
@@ -52,7 +52,7 @@
 			excluded := make(map[string]bool)
 			b.ReportAllocs()
 			for b.Loop() {
-				v, _, ok := s.chooseTarget("voids", excluded)
+				v, _, ok := s.chooseTarget("voids", 0, excluded)
 				if !ok {
 					b.Fatal("no target")
 				}
@@ -66,14 +66,14 @@
 // Guards against a choice among targets that were excluded, or that an earlier choice for another service has left behind.
 func TestChoiceLeavesOutExcludedTargets(t *testing.T) {
 	s := newChoosingSender(3)
-	_, _, ok := s.chooseTarget("riders", nil)
+	_, _, ok := s.chooseTarget("riders", 0, nil)
 	assert.Assert(t, !ok)
 	excluded := map[string]bool{}
 	for range 3 {
-		v, _, ok := s.chooseTarget("voids", excluded)
+		v, _, ok := s.chooseTarget("voids", 0, excluded)
 		assert.Assert(t, ok && !excluded[v.Name], v.Name)
 		excluded[v.Name] = true
 	}
-	_, _, ok = s.chooseTarget("voids", excluded)
+	_, _, ok = s.chooseTarget("voids", 0, excluded)
 	assert.Assert(t, !ok)
 }
--- a/coltsfootd/forward/sender.go
+++ b/coltsfootd/forward/sender.go
@@ -88,6 +88,7 @@
 	Peers         *peers.Table
 	LocalRunner   LocalRunner
 	Balancer      *passage.LockedBalancer
+	Placement     *Placement
 	RetryBudget   RetryBudget
 	Recorder      *decision.Recorder
 	Random        *rand.Rand
@@ -102,14 +103,12 @@
 	cold     *coldTargets
 	// stopBy is the time after which this node passes on no responses, because it stops; clock.Never while it doesn't.
 	stopBy atomic.Int64
-	// candidates holds the buffers (*[]balance.Candidate) of choices of targets.
-	candidates sync.Pool
+	lists  candidateLists
 }
 
 // NewSender returns a sender with the given dependencies.
 func NewSender(c SenderConfig) *Sender {
 	s := &Sender{SenderConfig: c, statuses: newTargetStatuses(c.Logger), cold: newColdTargets(c.Logger, c.Incarnation)}
-	s.candidates.New = func() any { return new([]balance.Candidate) }
 	s.stopBy.Store(int64(clock.Never))
 	return s
 }
@@ -133,7 +132,8 @@
 			}
 			return s.finalResult(last, mayHaveRun)
 		}
-		v, choice, ok := s.chooseTarget(j.Service, excluded)
+		cost := s.Placement.expect(costKey(j), s.Clock.Now())
+		v, choice, ok := s.chooseTarget(j.Service, cost.MeanMs, excluded)
 		if !ok && !mayHaveRun && s.waitForTarget(ctx, j, waitUntil) {
 			clear(excluded)
 			continue
@@ -143,7 +143,7 @@
 		}
 		j.Resent = tried[v.Name]
 		j.Attempt = last.Attempts
-		reply, response := s.attempt(ctx, v, j, choice)
+		reply, response := s.attempt(ctx, v, j, choice, cost.AgeMs)
 		last = Result{Reply: reply, Response: response, Target: v.Name, Attempts: last.Attempts + 1}
 		if reply.OK() {
 			return last
@@ -192,20 +192,33 @@
 
 // chooseTarget lets the balancer choose among the targets of the service. If none is usable, it also considers those whose nodes
 // are leaving: they still serve requests that would otherwise be refused.
-func (s *Sender) chooseTarget(service string, excluded map[string]bool) (vm.VM, balance.Choice, bool) {
+func (s *Sender) chooseTarget(
+	service string, costMs float64, excluded map[string]bool,
+) (vm.VM, balance.Choice, bool) {
 	view := s.Values.View()
-	if v, choice, ok := s.chooseUsableTarget(view, service, excluded, s.Peers.Usable); ok {
+	if v, choice, ok := s.chooseUsableTarget(view, service, costMs, excluded, s.Peers.Usable); ok {
 		return v, choice, true
 	}
-	return s.chooseUsableTarget(view, service, excluded, s.Peers.Reachable)
+	return s.chooseUsableTarget(view, service, costMs, excluded, s.Peers.Reachable)
 }
 
 func (s *Sender) chooseUsableTarget(
-	view *directory.View, service string, excluded map[string]bool, usable func(address string) bool,
+	view *directory.View, service string, costMs float64, excluded map[string]bool, usable func(address string) bool,
 ) (vm.VM, balance.Choice, bool) {
-	buffer, _ := s.candidates.Get().(*[]balance.Candidate)
-	defer s.candidates.Put(buffer)
-	candidates := (*buffer)[:0]
+	candidates := s.appendCandidates(s.lists.take(), view, service, excluded, usable)
+	defer s.lists.put(candidates)
+	choice, ok := s.Balancer.ChooseForCost(costMs, candidates, s.Clock.Now())
+	if !ok {
+		return vm.VM{}, choice, false
+	}
+	v, ok := view.VM(choice.Node)
+	return v, choice, ok
+}
+
+// appendCandidates appends the targets of the service that may get a request.
+func (s *Sender) appendCandidates(
+	candidates []balance.Candidate, view *directory.View, service string, excluded map[string]bool, usable func(address string) bool,
+) []balance.Candidate {
 	vms := usableTargets(view, service)
 	now := s.Clock.Now()
 	spareCold := s.sparesCold(vms, usable, now)
@@ -223,13 +236,7 @@
 		}
 		candidates = append(candidates, c)
 	}
-	*buffer = candidates
-	choice, ok := s.Balancer.Choose(candidates, nil, now)
-	if !ok {
-		return vm.VM{}, choice, false
-	}
-	v, ok := view.VM(choice.Node)
-	return v, choice, ok
+	return candidates
 }
 
 // waitForTarget waits before the next look for a target of the service, and reports false once a refusal helps the caller more
@@ -256,8 +263,10 @@
 	return j.ObjectiveMs / targetWaitDivisor
 }
 
-// attempt sends the job to one target.
-func (s *Sender) attempt(ctx context.Context, v vm.VM, j Job, choice balance.Choice) (dispatch.Reply, *upstream.Response) {
+// attempt sends the job to one target. costAgeMs is the age of the estimate of its cost.
+func (s *Sender) attempt(
+	ctx context.Context, v vm.VM, j Job, choice balance.Choice, costAgeMs clock.Millis,
+) (dispatch.Reply, *upstream.Response) {
 	now := s.Clock.Now()
 	j.Target, j.TargetStatus = v.Name, s.statuses.get(lifetime(v))
 	j.Sender, j.TimeoutMs = s.Incarnation, max(0, s.deadline(j)-now)
@@ -267,13 +276,14 @@
 		j.ColdPerSecond = published.ColdPerSecond
 		s.cold.sent(v, interval, now)
 	}
-	s.Balancer.Started(v.Name, now)
+	s.Balancer.StartedWork(v.Name, choice.Work.CostMs, now)
 	start := time.Now()
 	reply, response := s.deliver(ctx, v, j)
 	result := balance.CallResult{
 		LatencyMs: float64(time.Since(start).Microseconds()) / 1000,
 		Failed:    isTargetFailure(reply),
 		Refused:   !reply.OK() && reply.Run == call.NotRun,
+		CostMs:    choice.Work.CostMs, TargetMs: reply.TargetMs,
 	}
 	if reply.Load.Limit > 0 {
 		load := reply.Load
@@ -282,6 +292,7 @@
 	end := s.Clock.Now()
 	s.Balancer.Finished(v.Name, result, end)
 	s.statuses.record(lifetime(v), reply, end)
+	s.Placement.observe(j, reply, end)
 	if interval > 0 {
 		s.cold.replied(v, reply, interval, end)
 	}
@@ -289,6 +300,7 @@
 		AtMs: end, Part: decision.PartPassage, RequestID: j.RequestID, Account: j.Account, Route: j.Route,
 		Action: "request sent to target", Node: v.Name, Reason: reply.Reason, Attempt: j.Attempt,
 		WaitMs: clock.Millis(choice.WaitMs), FactAgeMs: choice.LoadAgeMs, ElapsedMs: end - now,
+		Cost: decision.NewCost(choice.Work, costAgeMs),
 	})
 	return reply, response
 }
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -69,6 +69,8 @@
 	WaitMs float64
 	// LoadAgeMs is the age of the reported load, or -1 when the node has not reported any.
 	LoadAgeMs clock.Millis
+	// Work is set if the choice was based on the expected cost of the request.
+	Work WorkFacts
 }
 
 // CallResult is the result of a call to a node.
@@ -81,6 +83,8 @@
 	Failed bool
 	// Refused is true when the node refused the call; its latency then says nothing about the target.
 	Refused bool
+	// CostMs is the expected cost that was given to StartedWork; TargetMs is the time that the target took, 0 if it is not known.
+	CostMs, TargetMs float64
 }
 
 // node is the state that the balancer keeps for a node.
@@ -92,6 +96,7 @@
 	// othersCalls is the number of calls in the reported load that came from other nodes.
 	othersCalls int
 	latencyMs   float64
+	work        nodeWork
 
 	failures     int
 	ejections    int
@@ -107,6 +112,8 @@
 	// latencyMs is the moving mean over all nodes. It is used for a node that has not responded yet, since a new node
 	// would otherwise seem to have no wait, however many calls it gets.
 	latencyMs float64
+	// usable is kept between choices, so that they don't allocate.
+	usable []int
 }
 
 // New returns a balancer without any recorded loads.
@@ -122,21 +129,47 @@
 // Choose returns the node for the next call, or false when every candidate is excluded or leaving.
 // The caller must report the call with Started and Finished.
 func (b *Balancer) Choose(candidates []Candidate, exclude map[string]bool, now clock.Millis) (Choice, bool) {
+	return b.ChooseForCost(0, candidates, exclude, now)
+}
+
+// ChooseForCost chooses like Choose by the expected completion time of a request whose expected slot time at the usual speed is
+// costMs. A cost of 0 is not known; the choice is then the same as that of Choose.
+func (b *Balancer) ChooseForCost(
+	costMs float64, candidates []Candidate, exclude map[string]bool, now clock.Millis,
+) (Choice, bool) {
 	if b.config.RoundRobin {
 		return b.chooseRoundRobin(candidates, exclude, now)
 	}
-	s := selection{balancer: b, candidates: candidates, exclude: exclude, now: now}
-	s.maxEjected = min(int(b.config.MaxEjectedFraction*float64(len(candidates))), len(candidates)-1)
+	chosen, ok := b.selectNode(b.newSelection(costMs, candidates, exclude, b.random, now))
+	if !ok {
+		return Choice{}, false
+	}
+	choice := b.newChoice(candidates[chosen], now)
+	if costMs > 0 {
+		choice.Work = b.workFacts(candidates[chosen], costMs, now)
+		choice.WaitMs = choice.Work.WaitMs
+	}
+	return choice, true
+}
+
+func (b *Balancer) newSelection(
+	costMs float64, candidates []Candidate, exclude map[string]bool, random *rand.Rand, now clock.Millis,
+) selection {
+	return selection{
+		balancer: b, candidates: candidates, exclude: exclude, random: random, now: now, costMs: costMs,
+		maxEjected: min(int(b.config.MaxEjectedFraction*float64(len(candidates))), len(candidates)-1),
+	}
+}
+
+// selectNode returns the index of the chosen candidate.
+func (b *Balancer) selectNode(s selection) (int, bool) {
 	chosen, ok := s.choose()
 	if !ok {
 		// All remaining nodes are ejected, for example because the others are excluded.
 		s.maxEjected = 0
 		chosen, ok = s.choose()
 	}
-	if !ok {
-		return Choice{}, false
-	}
-	return b.newChoice(candidates[chosen], now), true
+	return chosen, ok
 }
 
 // Started counts a call that is sent to the node.
@@ -152,6 +185,7 @@
 		n.load, n.loadKnown, n.loadAt = *result.Load, true, now
 		n.othersCalls = max(0, n.load.Running+n.load.Waiting-n.inFlight)
 	}
+	n.finishWork(result, now)
 	switch {
 	case result.Failed:
 		b.recordFailure(n, now)
