Bound the memory and the number of connections of unknown clients

Cause: net/http limits the header of one request and nothing limited their sum; the readiness and the operator server allowed 1 MB per header; no listener limited its connections; and net/http waits without a limit of time for a body that a handler does not read, so a refused request held its connection for as long as its client liked.

Change: the new package connlimit wraps the four listeners. It accounts for the memory of incomplete headers above 8 KB each (bytes and fields), and closes the connection with the largest one when a listener's share of memoryMB is used up. Each listener has a limit of connections, a part of maxFiles; at the limit the connection that has been silent for longest and has no request makes room. A client that leaves a response unread for 30 s is closed. Bodies that no handler reads have 5 s. The readiness and the operator listener take headers of 4 KB and 48 connections each. Settings: entryConnectionShare, peerConnectionShare, probeConnections, headerMemoryShare, responseStallSeconds. Metrics: clientConnections, clientHeaderBytes, clientConnectionsClosed.

TestRefusalDoesNotWaitForTheBody fails without the limit for unread bodies (no answer in 30 s).

--- /dev/null
+++ b/coltsfootd/connlimit/conn.go
@@ -0,0 +1,202 @@
+package connlimit
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"coltsfootusher.example/core/clock"
+)
+
+// phase is what a connection does.
+type phase int32
+
+const (
+	// awaitingHeader is the phase until the header of a request is complete.
+	awaitingHeader phase = iota
+	// receiving is the phase from the start of the handler until the request is complete and admitted.
+	receiving
+	// running is the phase until the response is complete.
+	running
+)
+
+// rank is the order in which connections make room for new ones.
+type rank int
+
+const (
+	headerLate rank = iota
+	withoutRequest
+	requestLate
+	noRank
+)
+
+const (
+	// weightPerByte and weightPerLine are the memory that net/http uses at most for a byte and a line of a header, in bytes. A
+	// header of 60 KB took 110 KB in one field, and 470 KB in 6,300 fields, both with garbage.
+	weightPerByte = 2
+	weightPerLine = 128
+	// exemptWeight is the memory of each header that is not accounted, so that small headers don't depend on large ones. A header
+	// of 2 KB in 30 lines has this weight.
+	exemptWeight = 8 << 10
+)
+
+var headerEnd, lineEnd = []byte("\r\n\r\n"), []byte("\n")
+
+// Conn is an accepted connection that net/http serves.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	// index and number are protected by the mutex of the listener. number counts the accepted connections.
+	index  int
+	number uint64
+
+	phase atomic.Int32
+	// answered is true once a request of this connection has been answered.
+	answered atomic.Bool
+	// lastReadAt, headerSince and writingSince are times of ticks. headerSince is the time of the first byte of a header that is
+	// incomplete and writingSince that of a write that is in progress; 0 means that there is none.
+	lastReadAt, headerSince, writingSince atomic.Int64
+
+	// weight is the memory of the header so far. It is used by the goroutine that serves the connection.
+	weight int64
+	// held is the accounted memory, position the place among the incomplete headers; they are protected by the mutex of memory.
+	held     int64
+	position int
+	released bool
+
+	once sync.Once
+}
+
+// Read accounts for the bytes of headers.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n <= 0 {
+		return n, err
+	}
+	now := c.listener.limiter.now.Load()
+	c.lastReadAt.Store(now)
+	if phase(c.phase.Load()) != awaitingHeader {
+		return n, err
+	}
+	if c.weight == 0 {
+		c.headerSince.Store(now)
+	}
+	c.weight += headerWeight(p[:n])
+	if c.weight > exemptWeight && !c.listener.reserve(c, c.weight-exemptWeight) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// headerWeight returns the memory for the part of a header at the beginning of p. What follows the header belongs to the body.
+func headerWeight(p []byte) int64 {
+	if end := bytes.Index(p, headerEnd); end >= 0 {
+		p = p[:end+len(headerEnd)]
+	}
+	return weightPerByte*int64(len(p)) + weightPerLine*int64(bytes.Count(p, lineEnd))
+}
+
+// Write records the time for which the client does not read.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writingSince.Store(c.listener.limiter.now.Load())
+	n, err := c.Conn.Write(p)
+	c.writingSince.Store(0)
+	return n, err
+}
+
+// CloseWrite closes the sending direction of the connection, if the connection supports it.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// NetConn returns the underlying connection.
+func (c *Conn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// Close closes the connection and returns what it holds. Later calls have no effect.
+func (c *Conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		c.listener.remove(c)
+		c.listener.memory.release(c, true)
+		err = c.Conn.Close()
+	})
+	return err
+}
+
+// closeFor closes the connection and counts it.
+func (c *Conn) closeFor(reason Reason) {
+	c.listener.closed[reason].Add(1)
+	_ = c.Close()
+}
+
+// SetState follows the states of net/http.
+func (c *Conn) SetState(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		c.RequestStarted()
+	case http.StateIdle:
+		c.endHeader()
+		c.answered.Store(true)
+		c.lastReadAt.Store(c.listener.limiter.now.Load())
+		c.phase.Store(int32(awaitingHeader))
+		c.listener.wake()
+	}
+}
+
+// RequestStarted records that a header is complete. net/http does not report this state for a request that it had read together
+// with the one before, so the handler must call it too.
+func (c *Conn) RequestStarted() {
+	if !c.phase.CompareAndSwap(int32(awaitingHeader), int32(receiving)) {
+		return
+	}
+	c.headerSince.Store(0)
+	if c.weight > exemptWeight {
+		c.listener.memory.complete(c)
+	}
+}
+
+// RequestComplete records that the request was received whole and admitted. Its connection is not closed to make room, and the
+// memory of its header is no longer accounted.
+func (c *Conn) RequestComplete() {
+	c.phase.Store(int32(running))
+	c.endHeader()
+}
+
+func (c *Conn) endHeader() {
+	if c.weight > exemptWeight {
+		c.listener.memory.release(c, false)
+	}
+	c.weight = 0
+}
+
+// rank returns the order in which the connection makes room for another one.
+func (c *Conn) rank(now clock.Millis) rank {
+	silent := now-clock.Millis(c.lastReadAt.Load()) >= graceMs
+	switch phase(c.phase.Load()) {
+	case awaitingHeader:
+		since := c.headerSince.Load()
+		slow := since != 0 && now-clock.Millis(since) >= graceMs
+		if slow || silent && !c.answered.Load() {
+			return headerLate
+		}
+		return withoutRequest
+	case receiving:
+		if silent {
+			return requestLate
+		}
+	}
+	return noRank
+}
+
+// silentLonger reports whether the connection has been silent for longer than the other one.
+func (c *Conn) silentLonger(than *Conn) bool {
+	own, other := c.lastReadAt.Load(), than.lastReadAt.Load()
+	return own < other || own == other && c.number < than.number
+}
--- a/coltsfootd/drain/conn.go
+++ b/coltsfootd/drain/conn.go
@@ -15,6 +15,15 @@
 	refusalWriteTimeout = time.Second
 )
 
+// requestObserver is implemented by connections that follow the requests on them.
+type requestObserver interface {
+	SetState(state http.ConnState)
+	// RequestStarted is called when a handler starts.
+	RequestStarted()
+	// RequestComplete is called when the request has been received whole and admitted.
+	RequestComplete()
+}
+
 // conn is a server connection that does not close without answering a request that may be arriving.
 //
 // During Shutdown, net/http closes connections on which a request may be arriving, and drops requests that it has just read.
@@ -23,6 +32,8 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// observer is the underlying connection if it follows the requests on it, else nil.
+	observer requestObserver
 
 	mu sync.Mutex
 	// handling is true from the start of the handler until net/http waits for the next request.
@@ -134,6 +145,9 @@
 }
 
 func (c *conn) setState(state http.ConnState) {
+	if c.observer != nil {
+		c.observer.SetState(state)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateIdle {
@@ -149,6 +163,9 @@
 }
 
 func (c *conn) setHandling() {
+	if c.observer != nil {
+		c.observer.RequestStarted()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling = true
@@ -168,6 +185,7 @@
 	l.server.openConns.Add(1)
 	l.server.sockets.Opened()
 	c := &conn{Conn: accepted, server: l.server, unused: true}
+	c.observer, _ = accepted.(requestObserver)
 	l.server.servedConns.Store(c, true)
 	return c, nil
 }
--- a/coltsfootd/drain/drain.go
+++ b/coltsfootd/drain/drain.go
@@ -81,6 +81,13 @@
 	return ok && socket.PeekState(c.Conn) == socket.Closed
 }
 
+// RequestComplete records that r was received whole and admitted, so that its connection is not closed in favour of others.
+func RequestComplete(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.observer != nil {
+		c.observer.RequestComplete()
+	}
+}
+
 // Serve accepts connections from l. It returns http.ErrServerClosed after Shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	return s.http.Serve(listener{Listener: l, server: s})
--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -207,6 +207,7 @@
 	if drain.CallerGone(in.request) {
 		return refusal(call.ReasonCallerGone, 0)
 	}
+	drain.RequestComplete(in.request)
 	ctx, cancel := context.WithTimeout(in.request.Context(), in.timeout.Duration())
 	o := h.admitAndSend(ctx, in)
 	if o.Response == nil {
--- a/coltsfootd/localtarget/handler.go
+++ b/coltsfootd/localtarget/handler.go
@@ -52,6 +52,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	drain.RequestComplete(request)
 	reply, response := r.Run(request.Context(), c, &upstream.Request{
 		Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header, Body: received.Bytes,
 	})
--- /dev/null
+++ b/coltsfootd/mesh/clients.go
@@ -0,0 +1,78 @@
+package mesh
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"coltsfootusher.example/coltsfootd/connlimit"
+)
+
+const (
+	// plainHeaderBytes limits the headers of readiness probes and of operators' requests. net/http allows 4 KB more.
+	plainHeaderBytes = 4 << 10
+	// unreadBodyTimeout limits the time for a body that a handler does not read. net/http reads up to 256 KB of it before it sends
+	// the response, without a limit of time of its own.
+	unreadBodyTimeout = 5 * time.Second
+	// bytesPerConnection is the memory of a connection with a small request, memoryShareOfConnections the part of the memory that
+	// the connections at all addresses may use. 2,300 connections took 8 KB each without a request and 22 KB each with one.
+	bytesPerConnection       = 22 << 10
+	memoryShareOfConnections = 0.5
+	// probeDivisor limits the connections at the readiness and the operator address in processes with few descriptors.
+	probeDivisor = 16
+	bytesPerMB   = 1_000_000
+)
+
+// limitClients limits the connections at the address with the name.
+func (n *Node) limitClients(name string, l net.Listener) net.Listener {
+	s := n.settings
+	limits := connlimit.Limits{HeaderBytes: int64(s.HeaderMemoryShare * s.MemoryMB * bytesPerMB)}
+	switch name {
+	case "entry":
+		limits.Connections = n.connectionLimit(s.EntryConnectionShare)
+	case "peer":
+		limits.Connections = n.connectionLimit(s.PeerConnectionShare)
+	default:
+		limits.Connections = min(s.ProbeConnections, n.sockets.Share(1.0/probeDivisor))
+	}
+	return n.clients.Listen(name, l, limits)
+}
+
+// connectionLimit returns the number of connections in a share of the descriptors and of the memory for connections.
+func (n *Node) connectionLimit(share float64) int {
+	limit := n.sockets.Share(share)
+	if bytes := n.settings.MemoryMB * bytesPerMB * memoryShareOfConnections; bytes > 0 {
+		limit = min(limit, int(share*bytes/bytesPerConnection))
+	}
+	return limit
+}
+
+// limitRequests limits the time for bodies that handler does not read, and closes connections after their responses while l is
+// nearly full.
+func limitRequests(handler http.Handler, l net.Listener) http.Handler {
+	limited, _ := l.(*connlimit.Listener)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if limited != nil && limited.NearlyFull() {
+			w.Header().Set("Connection", "close")
+		}
+		if r.ContentLength != 0 {
+			if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// newPlainServer returns a server for small requests without a key. Its connections are closed at once when the node stops.
+func newPlainServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: plainHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: unreadBodyTimeout,
+		IdleTimeout: idleTimeout,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if limited, ok := c.(*connlimit.Conn); ok {
+				limited.SetState(state)
+			}
+		},
+	}
+}
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -20,6 +20,7 @@
 
 	"coltsfootusher.example/coltsfootd/body"
 	"coltsfootusher.example/coltsfootd/boottime"
+	"coltsfootusher.example/coltsfootd/connlimit"
 	"coltsfootusher.example/coltsfootd/crash"
 	"coltsfootusher.example/coltsfootd/decision"
 	"coltsfootusher.example/coltsfootd/directory"
@@ -93,6 +94,7 @@
 	retryBudget *forward.ServiceRetryBudget
 	targetPool  *upstream.Pool
 	health      *localtarget.HealthProber
+	clients     *connlimit.Limiter
 
 	entryServer, peerServer *server
 	plainServers            []*http.Server
@@ -146,6 +148,10 @@
 	})
 	n.buildRequestPath(dialect)
 	n.runner.Publish(metrics, n.ownTargetID)
+	n.clients = connlimit.New(connlimit.Config{
+		Clock: n.clock, StallMs: s.ResponseStallSeconds.Millis(), Logger: logging.WithPart(n.logger, "clients"),
+	})
+	n.clients.Publish(metrics)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -207,8 +213,6 @@
 func (n *Node) listen() error {
 	s := n.settings
 	operatorAddress := netip.AddrPortFrom(s.PeerAddrPort().Addr(), s.OperatorPort).String()
-	n.entryServer = &server{name: "entry", Server: n.newDrainServer(n.handler)}
-	n.peerServer = &server{name: "peer", Server: n.newDrainServer(n.peerHandler())}
 	n.listeners = make(map[string]net.Listener)
 	for name, address := range map[string]string{
 		"entry": s.EntryAddress, "peer": s.PeerListen(), "readiness": s.ReadinessAddress, "operator": operatorAddress,
@@ -217,13 +221,12 @@
 		if err != nil {
 			return Error.New("%s address: %v", name, err)
 		}
-		n.listeners[name] = listener
+		n.listeners[name] = n.limitClients(name, listener)
 	}
+	n.entryServer = &server{name: "entry", Server: n.newDrainServer(n.handler, n.listeners["entry"])}
+	n.peerServer = &server{name: "peer", Server: n.newDrainServer(n.peerHandler(), n.listeners["peer"])}
 	n.entryServer.listener, n.peerServer.listener = n.listeners["entry"], n.listeners["peer"]
-	n.plainServers = []*http.Server{
-		{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: readHeaderTimeout},
-		{Handler: n.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout},
-	}
+	n.plainServers = []*http.Server{newPlainServer(http.HandlerFunc(n.serveReadiness)), newPlainServer(n.operatorHandler())}
 	return nil
 }
 
@@ -233,9 +236,10 @@
 	}
 }
 
-func (n *Node) newDrainServer(handler http.Handler) *drain.Server {
+func (n *Node) newDrainServer(handler http.Handler, l net.Listener) *drain.Server {
 	return drain.New(&http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: limitRequests(handler, l), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: idleTimeout,
 	}, drain.Refusal(map[string]string{"Coltsfoot-Reason": "leaving"}), n.sockets)
 }
 
@@ -243,7 +247,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	for _, run := range []func(context.Context){n.directory.Run, n.peers.Run, n.limiter.Run, n.admission.Run, n.applyUpdates} {
+	for _, run := range []func(context.Context){
+		n.directory.Run, n.peers.Run, n.limiter.Run, n.admission.Run, n.applyUpdates, n.clients.Run,
+	} {
 		go run(background)
 	}
 	failed := make(chan error, len(n.listeners))
--- a/coltsfootd/meshsetting/meshsetting.go
+++ b/coltsfootd/meshsetting/meshsetting.go
@@ -70,6 +70,17 @@
 	// MaxFiles is the maximum number of open files and connections of the process.
 	MaxFiles int `yaml:"maxFiles"`
 
+	// EntryConnectionShare and PeerConnectionShare are the parts of the usable files for the connections at EntryAddress and at
+	// PeerAddress; 0 means no limit.
+	EntryConnectionShare float64 `yaml:"entryConnectionShare"`
+	PeerConnectionShare  float64 `yaml:"peerConnectionShare"`
+	// ProbeConnections is the maximum number of connections at ReadinessAddress, and at OperatorPort; 0 means no limit.
+	ProbeConnections int `yaml:"probeConnections"`
+	// HeaderMemoryShare is the part of MemoryMB for the incomplete headers of requests at each address; 0 means no limit.
+	HeaderMemoryShare float64 `yaml:"headerMemoryShare"`
+	// ResponseStallSeconds is the time for which a client may leave a response unread; 0 means no limit.
+	ResponseStallSeconds Seconds `yaml:"responseStallSeconds"`
+
 	LogLevel  string `yaml:"logLevel"`
 	LogFormat string `yaml:"logFormat"`
 	// LogLinesPerSecond limits the log lines about decisions; omitted lines are counted.
@@ -80,6 +91,7 @@
 func Default() Settings {
 	return Settings{
 		KeyLeaseSeconds: 5, ConfigSeconds: 2, GraceSeconds: 6, RetryShare: 0.2, RetrySlack: 48, MaxFiles: 4096,
+		EntryConnectionShare: 0.5, PeerConnectionShare: 0.3, ProbeConnections: 48, HeaderMemoryShare: 0.0625, ResponseStallSeconds: 30,
 		LogLevel: "info", LogFormat: "logfmt", LogLinesPerSecond: 30,
 	}
 }
@@ -131,6 +143,28 @@
 	if s.RetryShare < 0 || s.RetrySlack < 0 || s.MemoryMB < 0 || s.LogLinesPerSecond < 0 {
 		return Error.New("retryShare, retrySlack, memoryMB and logLinesPerSecond must not be negative")
 	}
+	return s.validateClientLimits()
+}
+
+func (s Settings) validateClientLimits() error {
+	shares := []struct {
+		key   string
+		value float64
+	}{
+		{"entryConnectionShare", s.EntryConnectionShare}, {"peerConnectionShare", s.PeerConnectionShare},
+		{"headerMemoryShare", s.HeaderMemoryShare},
+	}
+	for _, share := range shares {
+		if !(share.value >= 0 && share.value <= 1) {
+			return Error.New("%s must be between 0 and 1, got %v", share.key, share.value)
+		}
+	}
+	if s.EntryConnectionShare+s.PeerConnectionShare > 1 {
+		return Error.New("entryConnectionShare and peerConnectionShare must not exceed 1 together")
+	}
+	if s.ProbeConnections < 0 || !(s.ResponseStallSeconds >= 0) {
+		return Error.New("probeConnections and responseStallSeconds must not be negative")
+	}
 	return nil
 }
 
--- a/coltsfootd/meshsetting/meshsetting_test.go
+++ b/coltsfootd/meshsetting/meshsetting_test.go
@@ -49,6 +49,11 @@
 		"missing":     strings.Replace(validSettings, "nodeName: \"n\"\n", "", 1),
 		"duration":    strings.Replace(validSettings, "keyLeaseSeconds: 5", "keyLeaseSeconds: 0", 1),
 		"negative":    strings.Replace(validSettings, "memoryMB: 284", "memoryMB: -1", 1),
+		"share":       validSettings + "headerMemoryShare: 1.5\n",
+		"no number":   validSettings + "headerMemoryShare: .nan\n",
+		"shares":      validSettings + "entryConnectionShare: 0.8\n",
+		"probes":      validSettings + "probeConnections: -1\n",
+		"stall":       validSettings + "responseStallSeconds: -1\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := loadSettings(t, text)
--- a/coltsfootd/socket/peek.go
+++ b/coltsfootd/socket/peek.go
@@ -21,8 +21,15 @@
 	Closed
 )
 
-// PeekState returns the state of a TCP connection without consuming the bytes that have arrived.
+// PeekState returns the state of a TCP connection, which may be wrapped, without consuming the bytes that have arrived.
 func PeekState(c net.Conn) ConnState {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = wrapper.NetConn()
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return Unknown
--- a/coltsfootd/socket/socket.go
+++ b/coltsfootd/socket/socket.go
@@ -67,6 +67,11 @@
 	return max(1, b.usable/targetIdleDivisor)
 }
 
+// Share returns the number of connections in a share of the usable descriptors.
+func (b *Budget) Share(share float64) int {
+	return int(share * float64(b.usable))
+}
+
 // Publish exports the number of open connections as a metric.
 func (b *Budget) Publish(metrics *expvar.Map) {
 	metrics.Set("openConnections", expvar.Func(func() any { return b.OpenCount() }))
