Answer 502 at once when a target sends an invalid status

Cause: http.ReadResponse parses the status with Atoi, and every status below 200 was taken for informational. A request whose target sent 000, 099 or +20 waited for its timeout (504), or a 200 that followed was delivered as its response; 600 and 999 were passed to the caller.

Change: a status that is not 100 to 599 in three digits ends the connection and the request as "may have run", as soon as the status itself has arrived. The same reader serves requests between nodes and their messages. Callers get 502 targetFailed; a lookup is tried again within its budget, an operation is not.

--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -187,6 +187,8 @@
 	// repeatRefusals makes the target refuse the first request on each connection, and write that refusal again when the next
 	// one arrives, which it runs.
 	repeatRefusals atomic.Bool
+	// raw is the text that the target sends as its response, see writeRaw, or "" for an ordinary one.
+	raw atomic.Value
 	// limit is the value of the limit header, or "" for none.
 	limit   atomic.Value
 	release chan struct{}
@@ -252,6 +254,10 @@
 		tg.server.CloseClientConnections()
 		return
 	}
+	if raw, _ := tg.raw.Load().(string); raw != "" {
+		tg.writeRaw(w, r, raw)
+		return
+	}
 	if tg.loseAnswers.Load() {
 		panic(http.ErrAbortHandler)
 	}
--- a/coltsfootd/upstream/conn.go
+++ b/coltsfootd/upstream/conn.go
@@ -122,10 +122,16 @@
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.bytesLeft = c.maxHeaderBytes
 	for range maxInformational + 1 {
+		if err := checkStatusLine(c.reader); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
+		if !validStatus(statusText(response.Status)) {
+			return nil, ErrInvalidStatus
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/coltsfootd/upstream/error.go
+++ b/coltsfootd/upstream/error.go
@@ -9,6 +9,9 @@
 // responses, or a long response to another request.
 var ErrResponseTooLarge = Error.New("the response is too large")
 
+// ErrInvalidStatus means that the status of a response is not one of 100 to 599 in three digits.
+var ErrInvalidStatus = Error.New("the status of the response is invalid")
+
 // RequestError is the error of a request with what is known about the request.
 type RequestError struct {
 	// Sent is true if a part of the request may have reached the receiver.
