Let requests whose bodies arrive slowly make room for others

Cause: at the limit of a listener, a request whose client sends a byte of its body now and then was never closed, so a crowd of them could keep others out until the timeout of the requests. A test case covers the order.

--- a/coltsfootd/connlimit/conn.go
+++ b/coltsfootd/connlimit/conn.go
@@ -29,6 +29,7 @@
 	headerLate rank = iota
 	withoutRequest
 	requestLate
+	requestSlow
 	noRank
 )
 
@@ -55,9 +56,10 @@
 	phase atomic.Int32
 	// answered is true once a request of this connection has been answered.
 	answered atomic.Bool
-	// lastReadAt, headerSince and writingSince are times of ticks. headerSince is the time of the first byte of a header that is
-	// incomplete and writingSince that of a write that is in progress; 0 means that there is none.
-	lastReadAt, headerSince, writingSince atomic.Int64
+	// lastReadAt, incompleteSince and writingSince are times of ticks. incompleteSince is the time of the first byte of an
+	// incomplete header, or that at which it was complete and the rest of the request was not, and writingSince that of a write
+	// that is in progress; 0 means that there is none.
+	lastReadAt, incompleteSince, writingSince atomic.Int64
 
 	// weight is the memory of the header so far. It is used by the goroutine that serves the connection.
 	weight int64
@@ -81,7 +83,7 @@
 		return n, err
 	}
 	if c.weight == 0 {
-		c.headerSince.Store(now)
+		c.incompleteSince.Store(now)
 	}
 	c.weight += headerWeight(p[:n])
 	if c.weight > exemptWeight && !c.listener.reserve(c, c.weight-exemptWeight) {
@@ -156,7 +158,7 @@
 	if !c.phase.CompareAndSwap(int32(awaitingHeader), int32(receiving)) {
 		return
 	}
-	c.headerSince.Store(0)
+	c.incompleteSince.Store(c.listener.limiter.now.Load())
 	if c.weight > exemptWeight {
 		c.listener.memory.complete(c)
 	}
@@ -170,6 +172,7 @@
 }
 
 func (c *Conn) endHeader() {
+	c.incompleteSince.Store(0)
 	if c.weight > exemptWeight {
 		c.listener.memory.release(c, false)
 	}
@@ -179,10 +182,10 @@
 // rank returns the order in which the connection makes room for another one.
 func (c *Conn) rank(now clock.Millis) rank {
 	silent := now-clock.Millis(c.lastReadAt.Load()) >= graceMs
+	since := c.incompleteSince.Load()
+	slow := since != 0 && now-clock.Millis(since) >= graceMs
 	switch phase(c.phase.Load()) {
 	case awaitingHeader:
-		since := c.headerSince.Load()
-		slow := since != 0 && now-clock.Millis(since) >= graceMs
 		if slow || silent && !c.answered.Load() {
 			return headerLate
 		}
@@ -191,6 +194,9 @@
 		if silent {
 			return requestLate
 		}
+		if slow {
+			return requestSlow
+		}
 	}
 	return noRank
 }
--- a/coltsfootd/connlimit/connlimit_test.go
+++ b/coltsfootd/connlimit/connlimit_test.go
@@ -165,6 +165,16 @@
 			f.request(fresh, 1)
 			return []pair{running, waiting, fresh}
 		}, 1},
+		"request whose body arrives slowly": {func(f *fixture) []pair {
+			running, slow, fresh := f.accept(), f.accept(), f.accept()
+			f.request(running, 1)
+			running.RequestComplete()
+			f.request(slow, 1)
+			f.pass(graceMs)
+			assert.NilError(f.t, f.receive(slow, "x"))
+			f.request(fresh, 1)
+			return []pair{running, slow, fresh}
+		}, 1},
 		"second request in the bytes of the first": {func(f *fixture) []pair {
 			pipelined := f.accept()
 			f.answered(pipelined)
--- a/coltsfootd/connlimit/listener.go
+++ b/coltsfootd/connlimit/listener.go
@@ -97,7 +97,8 @@
 
 // choose returns the connection that makes room for a new one, or nil if there is none. It takes the one that has been silent for
 // longest: first of those that have not sent a header in the time that a client has for it, then of those without a request, then
-// of those whose request is incomplete and silent for that time. The mutex must be held.
+// of those whose request is incomplete and silent for that time, then of those whose request is incomplete for that time. The
+// mutex must be held.
 func (l *Listener) choose() *Conn {
 	now := clock.Millis(l.limiter.now.Load())
 	var chosen *Conn
