--- a/coltsfootd/meshsetting/meshsetting_test.go
+++ b/coltsfootd/meshsetting/meshsetting_test.go
@@ -57,6 +57,11 @@
 		"duration":    strings.Replace(validSettings, "keyLeaseSeconds: 5", "keyLeaseSeconds: 0", 1),
 		"placement":   validSettings + "costPlacement: always\n",
 		"negative":    strings.Replace(validSettings, "memoryMB: 284", "memoryMB: -1", 1),
+		"share":       validSettings + "headerMemoryShare: 1.5\n",
+		"no number":   validSettings + "headerMemoryShare: .nan\n",
+		"shares":      validSettings + "entryConnectionShare: 0.8\n",
+		"probes":      validSettings + "probeConnections: -1\n",
+		"stall":       validSettings + "responseStallSeconds: -1\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := loadSettings(t, text)
--- a/coltsfootd/upstream/conn.go
+++ b/coltsfootd/upstream/conn.go
@@ -130,10 +130,16 @@
 	c.bytesLeft = c.maxHeaderBytes
 	c.request.Method = method
 	for range maxInformational + 1 {
+		if err := checkStatusLine(c.reader); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, &c.request)
 		if err != nil {
 			return nil, err
 		}
+		if !validStatus(statusText(response.Status)) {
+			return nil, ErrInvalidStatus
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/coltsfootd/upstream/error.go
+++ b/coltsfootd/upstream/error.go
@@ -12,6 +12,9 @@
 // ErrWithdrawn means that a request was not sent because its epoch is over.
 var ErrWithdrawn = Error.New("the request was withdrawn before it was sent")
 
+// ErrInvalidStatus means that the status of a response is not one of 100 to 599 in three digits.
+var ErrInvalidStatus = Error.New("the status of the response is invalid")
+
 // RequestError is the error of a request with what is known about the request.
 type RequestError struct {
 	// Sent is true if a part of the request may have reached the receiver.
