--- /dev/null
+++ b/core/bottleneck/average.go
@@ -0,0 +1,42 @@
+package bottleneck
+
+import (
+	"math"
+
+	"coltsfootusher.example/core/clock"
+)
+
+// averageHalfLifeMs is the half-life of the samples of a utilization. It is close to the time between the moments at which a queue
+// fills and empties.
+const averageHalfLifeMs = 150
+
+// average is the mean of recent samples, weighted by their age.
+type average struct {
+	sum, weight float64
+	updated     clock.Millis
+}
+
+func (a *average) add(sample float64, now clock.Millis) {
+	a.decay(now)
+	a.sum += sample
+	a.weight++
+}
+
+// value returns the mean, or 0 without samples.
+func (a *average) value() float64 {
+	if a.weight == 0 {
+		return 0
+	}
+	return a.sum / a.weight
+}
+
+func (a *average) decay(now clock.Millis) {
+	elapsed := float64(now - a.updated)
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp2(-elapsed / averageHalfLifeMs)
+	a.sum *= factor
+	a.weight *= factor
+	a.updated = now
+}
