--- a/coltsfootd/forward/admission.go
+++ b/coltsfootd/forward/admission.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/bottleneck"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/intake"
@@ -30,6 +31,13 @@
 	Done(route string, outcome intake.Outcome, now clock.Millis)
 }
 
+// ShortageThrottle limits lookups while a service that more important requests need is short of capacity.
+type ShortageThrottle interface {
+	// Share returns the share of such requests that may be admitted.
+	Share(r bottleneck.Request, now clock.Millis) float64
+	Observe(r bottleneck.Request, o bottleneck.Outcome, now clock.Millis)
+}
+
 // Sockets reports whether file descriptors for connections are running out.
 type Sockets interface {
 	NearlyExhausted() bool
@@ -41,6 +49,8 @@
 	Sockets  Sockets
 	Limiter  Limiter
 	Throttle LookupThrottle
+	// Shortage is nil if lookups are not limited in favor of more important requests.
+	Shortage ShortageThrottle
 }
 
 // AdmissionRequest is a request to be admitted.
@@ -55,6 +65,10 @@
 	// Lookup is what the throttle counts a throttled request as. All accounts of a route are counted together, because one
 	// account sends too few requests through one node to judge by.
 	Lookup intake.Call
+	// Chain identifies the request for the shortage throttle.
+	Chain bottleneck.Request
+	// Inner is true for calls of targets, which are not throttled.
+	Inner bool
 }
 
 // Admit returns the reason for which the request is refused, or "", and the retry delay. The rate limit is checked before the
@@ -74,15 +88,29 @@
 			return call.ReasonOverRate, max(retryAfter, overRateRetryAfterMs)
 		}
 	}
-	if r.Throttled && !a.Throttle.Admit(r.Lookup, a.Clock.Now()) {
+	if r.Throttled && !a.admitLookup(r) {
 		// The token is not refunded. Otherwise an account could try the throttle far more often than its rate allows.
 		return call.ReasonOverloaded, overloadRetryAfterMs
 	}
 	return "", 0
 }
 
-// Done records the result of an admitted request.
-func (a Admission) Done(r AdmissionRequest, result Result) {
+// admitLookup reports whether the throttles admit a lookup.
+func (a Admission) admitLookup(r AdmissionRequest) bool {
+	now := a.Clock.Now()
+	if a.Shortage != nil {
+		r.Lookup.MaxShare = a.Shortage.Share(r.Chain, now)
+	}
+	return a.Throttle.Admit(r.Lookup, now)
+}
+
+// Done records the result of an admitted request that was sent to the service.
+func (a Admission) Done(r AdmissionRequest, service string, result Result) {
+	if a.Shortage != nil && !r.Inner {
+		a.Shortage.Observe(r.Chain, bottleneck.Outcome{
+			Report: result.Reply.ChainReport(service), Short: result.Reply.InnerRefused,
+		}, a.Clock.Now())
+	}
 	if r.Throttled {
 		a.Throttle.Done(r.Lookup.Route, throttleOutcome(result), a.Clock.Now())
 	}
--- a/coltsfootd/forward/admission_test.go
+++ b/coltsfootd/forward/admission_test.go
@@ -78,7 +78,7 @@
 		} else {
 			capacity--
 		}
-		admission.Done(r, forward.Result{Reply: reply})
+		admission.Done(r, "trails", forward.Result{Reply: reply})
 		return !reply.InnerRefused
 	}
 	for now := clock.Millis(2); now < endMs; now++ {
--- a/coltsfootd/forward/handler.go
+++ b/coltsfootd/forward/handler.go
@@ -14,6 +14,7 @@
 	"coltsfootusher.example/coltsfootd/message"
 	"coltsfootusher.example/coltsfootd/metric"
 	"coltsfootusher.example/core/account"
+	"coltsfootusher.example/core/bottleneck"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/dialect"
@@ -58,6 +59,8 @@
 // lack of capacity.
 type InnerCalls interface {
 	RecordInnerRefusal()
+	// ObserveDownstream records the utilization of the services that an inner call used.
+	ObserveDownstream(report bottleneck.Report)
 	// RetryFraction returns the fraction of the running requests that are retries or were caused by retries.
 	RetryFraction() float64
 }
@@ -299,12 +302,20 @@
 		Account: in.account, Limited: in.account.ID != "" && !in.route.Open, Urgent: in.route.Class == route.NonIdempotent,
 		Throttled: in.route.Class == route.Lookup && !in.inner,
 		Lookup:    intake.Call{Route: in.route.Host + in.route.Prefix, TimeoutMs: in.caller.TimeoutMs},
+		Inner:     in.inner,
+	}
+	request.Chain = bottleneck.Request{
+		Route: request.Lookup.Route, Rank: in.priority, Idempotent: in.route.Class == route.Lookup,
 	}
 	if reason, retryAfter := h.Admission.Admit(ctx, request); reason != "" {
 		return refusal(reason, h.Sender.RetryAfter(retryAfter))
 	}
-	result := h.Sender.Send(ctx, h.newJob(in))
-	h.Admission.Done(request, result)
+	job := h.newJob(in)
+	result := h.Sender.Send(ctx, job)
+	h.Admission.Done(request, job.Service, result)
+	if in.inner {
+		h.InnerCalls.ObserveDownstream(result.Reply.ChainReport(job.Service))
+	}
 	if in.inner && failedForOverload(result) {
 		h.InnerCalls.RecordInnerRefusal()
 	}
--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -16,6 +16,7 @@
 	"coltsfootusher.example/coltsfootd/directory"
 	"coltsfootusher.example/coltsfootd/gateway"
 	"coltsfootusher.example/coltsfootd/upstream"
+	"coltsfootusher.example/core/bottleneck"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/dialect"
@@ -71,13 +72,14 @@
 	senderDeadlines senderDeadlines
 	retries         retryGauge
 	status          *statusMonitor
+	downstream      *bottleneck.Downstream
 	// lastInnerRefusal is the time of the latest refusal of an inner call of the target.
 	lastInnerRefusal atomic.Int64
 }
 
 // New returns a runner with these dependencies.
 func New(c Config) *Runner {
-	r := &Runner{Config: c}
+	r := &Runner{Config: c, downstream: bottleneck.NewDownstream()}
 	r.status = newStatusMonitor(c.Logger, r.applyLimit, c.Clock.Now())
 	return r
 }
@@ -137,6 +139,7 @@
 		reply.TargetStatus = &s
 		reply.Load.Leaving = reply.Load.Leaving || s.Leaving
 	}
+	reply.Bottleneck = r.bottleneck()
 	r.record(c, reply, received)
 	return reply, response
 }
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -37,6 +37,7 @@
 	"coltsfootusher.example/coltsfootd/socket"
 	"coltsfootusher.example/coltsfootd/upstream"
 	"coltsfootusher.example/core/balance"
+	"coltsfootusher.example/core/bottleneck"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/gate"
 	"coltsfootusher.example/core/intake"
@@ -93,6 +94,8 @@
 	retryBudget *forward.ServiceRetryBudget
 	targetPool  *upstream.Pool
 	health      *localtarget.HealthProber
+	// shortage is nil if the settings don't ask for it.
+	shortage *bottleneck.Throttle
 
 	entryServer, peerServer *server
 	plainServers            []*http.Server
@@ -146,6 +149,7 @@
 	})
 	n.buildRequestPath(dialect)
 	n.runner.Publish(metrics, n.ownTargetID)
+	n.publishShortage(metrics)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -169,13 +173,18 @@
 		Logger: logging.WithPart(n.logger, "target"),
 	})
 	n.retryBudget = forward.NewServiceRetryBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
+	admission := forward.Admission{
+		Clock: n.clock, Sockets: n.sockets, Limiter: n.limiter,
+		Throttle: intake.New(rand.New(rand.NewPCG(n.incarnation, 1))),
+	}
+	if s.ShortageThrottle {
+		n.shortage = bottleneck.NewThrottle()
+		admission.Shortage = n.shortage
+	}
 	n.handler = forward.New(forward.Config{
 		Service: s.Service, StaleAfterMs: s.ConfigSeconds.Millis(), Clock: n.clock, Dialect: dialect, Values: n.directory,
-		Admission: forward.Admission{
-			Clock: n.clock, Sockets: n.sockets, Limiter: n.limiter,
-			Throttle: intake.New(rand.New(rand.NewPCG(n.incarnation, 1))),
-		},
-		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, InnerCalls: n.runner, Latency: n.latency,
+		Admission: admission,
+		Splitter:  split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, InnerCalls: n.runner, Latency: n.latency,
 		Bodies: n.bodies,
 		Sender: forward.NewSender(forward.SenderConfig{
 			Address: s.PeerAddress, Incarnation: n.incarnation, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory,
@@ -273,6 +282,7 @@
 	var applied *directory.View
 	announced := false
 	periodic.Run(ctx, reconfigureInterval, func(context.Context) {
+		n.logShortage()
 		v := n.directory.View()
 		if v == nil {
 			return
--- a/coltsfootd/meshsetting/meshsetting.go
+++ b/coltsfootd/meshsetting/meshsetting.go
@@ -64,6 +64,9 @@
 	RetryShare float64 `yaml:"retryShare"`
 	RetrySlack float64 `yaml:"retrySlack"`
 
+	// ShortageThrottle makes the node admit fewer lookups while a service that more important requests need is short of capacity.
+	ShortageThrottle bool `yaml:"shortageThrottle"`
+
 	// MemoryMB is the memory limit of the process, in MB; 0 means no limit.
 	MemoryMB float64 `yaml:"memoryMB"`
 
--- a/core/bottleneck/throttle.go
+++ b/core/bottleneck/throttle.go
@@ -20,18 +20,18 @@
 	maxExcess = 1.0
 	// minShare is the share of the lookups of each rank that is always admitted.
 	minShare = 0.2
-	// shortHalfLifeMs is the half-life of the counts by which a route counts as dependent on a service. While the throttle works,
+	// shortHalfLifeMs is the half-life of the counts by which a kind of requests counts as dependent on a service. While the throttle works,
 	// few requests fail, so that the counts must outlast the shortage.
 	shortHalfLifeMs = 30_000
-	// dependentAfter is the number of requests of a route that must have failed for lack of capacity of a service, and
+	// dependentAfter is the number of requests of a kind that must have failed for lack of capacity of a service, and
 	// dependentShare the fraction of its requests while the service was short. Single requests fail for other reasons at the
-	// moment at which another request lacks capacity. A dependent route stays one until the count has decayed to
+	// moment at which another request lacks capacity. A dependent kind stays one until the count has decayed to
 	// independentBelow: while the throttle works, its requests succeed.
 	dependentAfter   = 2
 	dependentShare   = 0.05
 	independentBelow = 0.5
-	// maxRoutes bounds the memory. Requests of further routes are not throttled.
-	maxRoutes = 4096
+	// maxKinds bounds the memory. Further kinds of requests are not throttled.
+	maxKinds = 4096
 )
 
 // Request is a request of a caller.
@@ -43,6 +43,13 @@
 	Idempotent bool
 }
 
+// requestKind identifies the requests that are counted together. One route has requests of several ranks, as accounts have ranks
+// of their own.
+type requestKind struct {
+	route string
+	rank  int
+}
+
 // Outcome is what the reply to a request says.
 type Outcome struct {
 	// Report names the most utilized service of the request's chain.
@@ -51,11 +58,11 @@
 	Short bool
 }
 
-// route holds what is known about the requests of a route.
-type route struct {
+// kindCounts holds what is known about one kind of requests.
+type kindCounts struct {
 	rank       int
 	idempotent bool
-	// service is the one at which requests of the route have failed for lack of capacity. finished counts the requests that ended
+	// service is the one at which its requests have failed for lack of capacity. finished counts the requests that ended
 	// while it was above the target utilization, short those of them that failed for that reason. Both decay.
 	service         string
 	finished, short float64
@@ -94,13 +101,14 @@
 // gates have free slots; such rejections don't count as a shortage.
 type Throttle struct {
 	mu       sync.Mutex
-	routes   map[string]*route
+	kinds    map[requestKind]*kindCounts
 	services map[string]*service
+	changes  []Change
 }
 
 // NewThrottle returns a throttle that admits every request at first.
 func NewThrottle() *Throttle {
-	return &Throttle{routes: make(map[string]*route), services: make(map[string]*service)}
+	return &Throttle{kinds: make(map[requestKind]*kindCounts), services: make(map[string]*service)}
 }
 
 // Share returns the share of such requests that may be admitted now.
@@ -110,7 +118,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.routes[r.Route]
+	known := t.kinds[requestKind{r.Route, r.Rank}]
 	if known == nil || !known.dependent {
 		return 1
 	}
@@ -120,7 +128,7 @@
 	}
 	if now-s.steppedAt >= stepMs {
 		s.competitors = t.competitorsFor(known.service)
-		s.step(now)
+		t.step(known.service, s, now)
 	}
 	index := slices.Index(s.competitors.ranks, r.Rank)
 	if index < 0 || !s.competitors.includeMoreImportant(r.Rank) {
@@ -139,11 +147,37 @@
 	if s := t.service(o.Report.Service, now); s != nil {
 		s.utilization.add(o.Report.Utilization, now)
 	}
-	if known := t.route(r, now); known != nil {
+	if known := t.counts(r, now); known != nil {
 		known.observe(r, o, now)
 	}
 }
 
+// Change tells that the throttle has begun or ceased to limit lookups because of a service.
+type Change struct {
+	Service     string
+	Limited     bool
+	Utilization float64
+	AtMs        clock.Millis
+}
+
+// TakeChanges returns the changes since the last call.
+func (t *Throttle) TakeChanges() []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	taken := t.changes
+	t.changes = nil
+	return taken
+}
+
+// step adapts the cut of a service and records a change.
+func (t *Throttle) step(name string, s *service, now clock.Millis) {
+	before := s.cut > 0
+	s.step(now)
+	if limited := s.cut > 0; limited != before && len(t.changes) < maxServices {
+		t.changes = append(t.changes, Change{Service: name, Limited: limited, Utilization: s.utilization.value(), AtMs: now})
+	}
+}
+
 // Shares returns the admitted share of the lowest rank for each service that is short of capacity.
 func (t *Throttle) Shares() map[string]float64 {
 	t.mu.Lock()
@@ -160,7 +194,7 @@
 // competitorsFor returns the requests that depend on the service.
 func (t *Throttle) competitorsFor(name string) competitors {
 	c := competitors{highestRank: math.MaxInt}
-	for _, r := range t.routes {
+	for _, r := range t.kinds {
 		if r.service != name || !r.dependent {
 			continue
 		}
@@ -185,18 +219,19 @@
 	return s
 }
 
-func (t *Throttle) route(r Request, now clock.Millis) *route {
-	known := t.routes[r.Route]
-	if known == nil && len(t.routes) < maxRoutes {
-		known = &route{updated: now}
-		t.routes[r.Route] = known
+func (t *Throttle) counts(r Request, now clock.Millis) *kindCounts {
+	kind := requestKind{r.Route, r.Rank}
+	known := t.kinds[kind]
+	if known == nil && len(t.kinds) < maxKinds {
+		known = &kindCounts{rank: r.Rank, updated: now}
+		t.kinds[kind] = known
 	}
 	return known
 }
 
-// observe counts an outcome. A route counts for one service at a time, the one at which its requests have failed.
-func (r *route) observe(request Request, o Outcome, now clock.Millis) {
-	r.rank, r.idempotent = request.Rank, request.Idempotent
+// observe counts an outcome. A kind counts for one service at a time, the one at which its requests have failed.
+func (r *kindCounts) observe(request Request, o Outcome, now clock.Millis) {
+	r.idempotent = request.Idempotent
 	r.decay(now)
 	if o.Short && r.service != o.Report.Service {
 		if r.dependent {
@@ -214,7 +249,7 @@
 	r.dependent = r.dependent || r.short >= dependentAfter && r.short >= dependentShare*r.finished
 }
 
-func (r *route) decay(now clock.Millis) {
+func (r *kindCounts) decay(now clock.Millis) {
 	elapsed := float64(now - r.updated)
 	if elapsed <= 0 {
 		return
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 	"github.com/zeebo/errs"
 
+	"coltsfootusher.example/core/bottleneck"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/route"
@@ -84,6 +85,8 @@
 	// TargetMs is the time that the target took for the request.
 	TargetMs float64   `json:"targetMs,omitempty"`
 	Load     call.Load `json:"load"`
+	// Bottleneck is the most utilized service that the inner calls of the target use; nil if none of them is short of capacity.
+	Bottleneck *bottleneck.Report `json:"bottleneck,omitempty"`
 	// TargetStatus is what the target last stated about itself; nil if it states nothing.
 	TargetStatus *targetstatus.Status `json:"targetStatus,omitempty"`
 }
@@ -101,12 +104,26 @@
 	if r.Reason == "" && r.Run != call.WasRun {
 		return Error.New("reply has neither a reason nor the run state of a request that the target ran")
 	}
+	if r.Bottleneck != nil {
+		if err := r.Bottleneck.Validate(); err != nil {
+			return Error.Wrap(err)
+		}
+	}
 	if r.TargetStatus != nil {
 		return Error.Wrap(r.TargetStatus.Validate())
 	}
 	return nil
 }
 
+// ChainReport returns what the reply says about the utilization of the service that was asked, and of those behind it.
+func (r Reply) ChainReport(service string) bottleneck.Report {
+	report := bottleneck.NewReport(service, r.Load.Running, r.Load.Waiting, r.Load.Limit)
+	if r.Bottleneck != nil {
+		report = report.Worse(*r.Bottleneck)
+	}
+	return report
+}
+
 // validator is a message that checks itself when it is decoded.
 type validator interface {
 	Validate() error
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -40,6 +40,8 @@
 	Route string
 	// TimeoutMs is the remaining time that the caller will wait; 0 if unknown.
 	TimeoutMs clock.Millis
+	// MaxShare limits the share of such calls that is admitted; 0 means no limit.
+	MaxShare float64
 }
 
 // Outcome tells whether a forwarded call found capacity.
@@ -90,7 +92,7 @@
 	if r == nil {
 		return true
 	}
-	if share := r.admitShare(r.isDelayedRetry(call)); share < 1 && c.random.Float64() >= share {
+	if share := r.admitShare(r.isDelayedRetry(call), call.maxShare()); share < 1 && c.random.Float64() >= share {
 		r.offered++
 		return false
 	}
@@ -162,14 +164,22 @@
 	return float64(call.TimeoutMs+minRetryDelayMs) <= r.longestTimeoutMs
 }
 
+// maxShare returns the limit on the admitted share.
+func (c Call) maxShare() float64 {
+	if c.MaxShare <= 0 {
+		return 1
+	}
+	return c.MaxShare
+}
+
 // admitShare counts a call and returns the share to admit of delayed retries or of other calls. The mean over both kinds is the
-// admitted share of all calls.
-func (r *routeCounts) admitShare(delayed bool) float64 {
+// admitted share of all calls, which is at most maxShare.
+func (r *routeCounts) admitShare(delayed bool, maxShare float64) float64 {
 	r.arrived++
 	if delayed {
 		r.delayedRetries++
 	}
-	share, delayedShare := r.admittedShare(), r.delayedRetries/r.arrived
+	share, delayedShare := min(maxShare, r.admittedShare()), r.delayedRetries/r.arrived
 	preferred := min(1, delayedRetryFactor*share/(1+delayedShare*(delayedRetryFactor-1)))
 	if delayed || delayedShare >= 1 {
 		return preferred
