--- a/coltsfootd/localtarget/localtarget.go
+++ b/coltsfootd/localtarget/localtarget.go
@@ -16,6 +16,7 @@
 	"coltsfootusher.example/coltsfootd/directory"
 	"coltsfootusher.example/coltsfootd/gateway"
 	"coltsfootusher.example/coltsfootd/upstream"
+	"coltsfootusher.example/core/bottleneck"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/dialect"
@@ -77,13 +78,14 @@
 	status          *statusMonitor
 	limits          rateLimits
 	warmup          *warmupMonitor
+	downstream      *bottleneck.Downstream
 	// lastInnerRefusal is the time of the latest refusal of an inner call of the target.
 	lastInnerRefusal atomic.Int64
 }
 
 // New returns a runner with these dependencies.
 func New(c Config) *Runner {
-	r := &Runner{Config: c}
+	r := &Runner{Config: c, downstream: bottleneck.NewDownstream()}
 	r.status = newStatusMonitor(c.Logger, r.applyLimit, c.Clock.Now())
 	r.warmup = newWarmupMonitor(c.Logger, c.Clock.Now())
 	c.Pool.OnLost(r.idleConnectionsLost)
@@ -142,6 +144,7 @@
 		reply.Load.Leaving = reply.Load.Leaving || s.Leaving
 	}
 	reply.ColdMs = r.warmup.leftMs(r.Clock.Now())
+	reply.Bottleneck = r.bottleneck()
 	r.record(c, reply, received)
 	return reply, response
 }
--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -38,6 +38,7 @@
 	"coltsfootusher.example/coltsfootd/socket"
 	"coltsfootusher.example/coltsfootd/upstream"
 	"coltsfootusher.example/core/balance"
+	"coltsfootusher.example/core/bottleneck"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/gate"
 	"coltsfootusher.example/core/intake"
@@ -98,6 +99,8 @@
 	targetPool  *upstream.Pool
 	health      *localtarget.HealthProber
 	clients     *connlimit.Limiter
+	// shortage is nil if the settings don't ask for it.
+	shortage *bottleneck.Throttle
 
 	entryServer, peerServer *server
 	plainServers            []*http.Server
@@ -163,6 +166,7 @@
 		Clock: n.clock, StallMs: s.ResponseStallSeconds.Millis(), Logger: logging.WithPart(n.logger, "clients"),
 	})
 	n.clients.Publish(metrics)
+	n.publishShortage(metrics)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -189,13 +193,18 @@
 		Logger:        logging.WithPart(n.logger, "target"),
 	})
 	n.retryBudget = forward.NewServiceRetryBudget(s.RetryShare, s.RetrySlack/retryWindowSeconds)
+	admission := forward.Admission{
+		Clock: n.clock, Sockets: n.sockets, Limiter: n.limiter,
+		Throttle: intake.New(rand.New(rand.NewPCG(n.incarnation, 1))),
+	}
+	if s.ShortageThrottle {
+		n.shortage = bottleneck.NewThrottle()
+		admission.Shortage = n.shortage
+	}
 	n.handler = forward.New(forward.Config{
 		Service: s.Service, StaleAfterMs: s.ConfigSeconds.Millis(), Clock: n.clock, Dialect: dialect, Values: n.directory,
-		Admission: forward.Admission{
-			Clock: n.clock, Sockets: n.sockets, Limiter: n.limiter,
-			Throttle: intake.New(rand.New(rand.NewPCG(n.incarnation, 1))),
-		},
-		Splitter: split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, InnerCalls: n.runner, Latency: n.latency,
+		Admission: admission,
+		Splitter:  split.New(rand.New(rand.NewPCG(n.incarnation, 2))), Recorder: n.recorder, InnerCalls: n.runner, Latency: n.latency,
 		Bodies: n.bodies,
 		Sender: forward.NewSender(forward.SenderConfig{
 			Address: s.PeerAddress, Incarnation: n.incarnation, FailureDomain: s.FailureDomain, Clock: n.clock, Values: n.directory,
@@ -294,6 +303,7 @@
 	var applied *directory.View
 	announced := false
 	periodic.Run(ctx, reconfigureInterval, func(context.Context) {
+		n.logShortage()
 		v := n.directory.View()
 		if v == nil {
 			return
--- a/coltsfootd/meshsetting/meshsetting.go
+++ b/coltsfootd/meshsetting/meshsetting.go
@@ -72,6 +72,9 @@
 	// slowness (auto), all (on) or none (off).
 	CostPlacement workcost.Mode `yaml:"costPlacement"`
 
+	// ShortageThrottle makes the node admit fewer lookups while a service that more important requests need is short of capacity.
+	ShortageThrottle bool `yaml:"shortageThrottle"`
+
 	// MemoryMB is the memory limit of the process, in MB; 0 means no limit.
 	MemoryMB float64 `yaml:"memoryMB"`
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 	"github.com/zeebo/errs"
 
+	"coltsfootusher.example/core/bottleneck"
 	"coltsfootusher.example/core/call"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/route"
@@ -89,6 +90,8 @@
 	// TargetMs is the time that the target took for the request.
 	TargetMs float64   `json:"targetMs,omitempty"`
 	Load     call.Load `json:"load"`
+	// Bottleneck is the most utilized service that the inner calls of the target use; nil if none of them is short of capacity.
+	Bottleneck *bottleneck.Report `json:"bottleneck,omitempty"`
 	// TargetStatus is what the target last stated about itself; nil if it states nothing.
 	TargetStatus *targetstatus.Status `json:"targetStatus,omitempty"`
 	// ColdMs is the time for which the target is expected to stay cold; 0 if it is warm.
@@ -111,12 +114,26 @@
 	if r.ColdMs < 0 {
 		return Error.New("reply has a negative warm-up time")
 	}
+	if r.Bottleneck != nil {
+		if err := r.Bottleneck.Validate(); err != nil {
+			return Error.Wrap(err)
+		}
+	}
 	if r.TargetStatus != nil {
 		return Error.Wrap(r.TargetStatus.Validate())
 	}
 	return nil
 }
 
+// ChainReport returns what the reply says about the utilization of the service that was asked, and of those behind it.
+func (r Reply) ChainReport(service string) bottleneck.Report {
+	report := bottleneck.NewReport(service, r.Load.Running, r.Load.Waiting, r.Load.Limit)
+	if r.Bottleneck != nil {
+		report = report.Worse(*r.Bottleneck)
+	}
+	return report
+}
+
 // validator is a message that checks itself when it is decoded.
 type validator interface {
 	Validate() error
