Describe the shortage throttle, and choose test addresses below the ephemeral ports

Cause: TestStartingReaderTakesWhatOtherNodesKnowBeforeTheCopyOfTheStore failed once with 'address already in use': its address lay in the range of ephemeral ports, and an outgoing connection took it before the node listened. Assertions are unchanged.

--- a/coltsfootd/directory/start_test.go
+++ b/coltsfootd/directory/start_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"coltsfootusher.example/coltsfootd/directory"
+	"coltsfootusher.example/coltsfootd/looptest"
 	"coltsfootusher.example/core/clock"
 	"coltsfootusher.example/core/roster"
 	"coltsfootusher.example/core/vm"
@@ -65,12 +66,7 @@
 // newAddresses returns two unused addresses; the node at the first one ranks first among them.
 func newAddresses(t *testing.T) (first, second string) {
 	t.Helper()
-	for _, address := range []*string{&first, &second} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer func() { _ = l.Close() }()
-		*address = l.Addr().String()
-	}
+	first, second = looptest.FreeAddress(t), looptest.FreeAddress(t)
 	if xxhash.Sum64String(first) > xxhash.Sum64String(second) {
 		first, second = second, first
 	}
--- a/coltsfootd/localtarget/evacuation_test.go
+++ b/coltsfootd/localtarget/evacuation_test.go
@@ -28,8 +28,8 @@
 
 func (noView) View() *directory.View { return nil }
 
-// Guards against a target that gets its full load in one step after an evacuation, with and without a published allowance for cold
-// targets.
+// Guards against a target that gets its full load in one step after an evacuation, with and without a published allowance for
+// cold targets.
 func TestReturnedTargetStartsSlowly(t *testing.T) {
 	for name, c := range map[string]struct {
 		coldPerSecond float64
--- /dev/null
+++ b/coltsfootd/looptest/doc.go
@@ -0,0 +1,2 @@
+// Package looptest chooses loopback addresses for tests that start nodes.
+package looptest
--- a/coltsfootd/mesh/cost_test.go
+++ b/coltsfootd/mesh/cost_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"coltsfootusher.example/coltsfootd/decision"
+	"coltsfootusher.example/coltsfootd/looptest"
 	"coltsfootusher.example/coltsfootd/meshsetting"
 	"coltsfootusher.example/coltsfootd/preview"
 	"coltsfootusher.example/core/call"
@@ -30,7 +31,7 @@
 
 func withOperatorPort(t *testing.T, mode workcost.Mode) func(*meshsetting.Settings) {
 	return func(s *meshsetting.Settings) {
-		s.OperatorPort, s.CostPlacement = netip.MustParseAddrPort(freeAddress(t)).Port(), mode
+		s.OperatorPort, s.CostPlacement = netip.MustParseAddrPort(looptest.FreeAddress(t)).Port(), mode
 	}
 }
 
--- a/coltsfootd/mesh/evacuation_test.go
+++ b/coltsfootd/mesh/evacuation_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"coltsfootusher.example/coltsfootd/looptest"
 	"coltsfootusher.example/coltsfootd/meshsetting"
 	"coltsfootusher.example/coltsfootd/operator"
 	"coltsfootusher.example/core/clock"
@@ -63,7 +64,7 @@
 		s.EvacuationSeconds = evacuationSeconds[i]
 		i++
 		s.FailureDomain = fmt.Sprint("d", i)
-		operator, err := netip.ParseAddrPort(freeAddress(t))
+		operator, err := netip.ParseAddrPort(looptest.FreeAddress(t))
 		assert.NilError(t, err)
 		s.OperatorPort = operator.Port()
 	}, "voids", "voids")
--- a/coltsfootd/mesh/fixture_test.go
+++ b/coltsfootd/mesh/fixture_test.go
@@ -6,8 +6,6 @@
 	"expvar"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -22,6 +20,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"coltsfootusher.example/coltsfootd/looptest"
 	"coltsfootusher.example/coltsfootd/mesh"
 	"coltsfootusher.example/coltsfootd/meshsetting"
 	"coltsfootusher.example/core/clock"
@@ -355,7 +354,7 @@
 		f.targets = append(f.targets, tg)
 		s := meshsetting.Default()
 		s.NodeName, s.Service, s.FailureDomain = "n"+strconv.Itoa(i), service, "d1"
-		s.EntryAddress, s.PeerAddress, s.ReadinessAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+		s.EntryAddress, s.PeerAddress, s.ReadinessAddress = looptest.FreeAddress(t), looptest.FreeAddress(t), looptest.FreeAddress(t)
 		s.TargetAddress, s.PlatformAddress = tg.address, "127.0.0.1:1"
 		// The lease of the policy is shorter than this by leaseMarginMs.
 		s.KeyLeaseSeconds = 3
@@ -428,34 +427,6 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Range of the listening ports. It lies below the ephemeral ports of the system, so that no outgoing connection takes a port
-// between its choice and its use.
-const (
-	firstPort = 12_000
-	portCount = 18_000
-)
-
-var nextPort atomic.Int64
-
-func init() {
-	nextPort.Store(rand.Int64N(portCount))
-}
-
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	for range portCount {
-		port := firstPort + nextPort.Add(1)%portCount
-		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.FormatInt(port, 10))
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, listener.Close())
-		return listener.Addr().String()
-	}
-	t.Fatal("no port is free")
-	return ""
-}
-
 type callerAnswer struct {
 	status int
 	header http.Header
--- a/coltsfootd/mesh/platform_test.go
+++ b/coltsfootd/mesh/platform_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"coltsfootusher.example/coltsfootd/looptest"
 	"coltsfootusher.example/coltsfootd/mesh"
 	"coltsfootusher.example/coltsfootd/meshsetting"
 	"coltsfootusher.example/core/route"
@@ -39,8 +40,8 @@
 	t.Cleanup(server.Close)
 	s := meshsetting.Default()
 	s.NodeName, s.Service, s.FailureDomain = "n0", "voids", "d1"
-	s.EntryAddress, s.PeerAddress, s.ReadinessAddress = freeAddress(t), freeAddress(t), freeAddress(t)
-	s.TargetAddress, s.PlatformAddress = freeAddress(t), strings.TrimPrefix(server.URL, "http://")
+	s.EntryAddress, s.PeerAddress, s.ReadinessAddress = looptest.FreeAddress(t), looptest.FreeAddress(t), looptest.FreeAddress(t)
+	s.TargetAddress, s.PlatformAddress = looptest.FreeAddress(t), strings.TrimPrefix(server.URL, "http://")
 	assert.NilError(t, store.PublishPolicy(platformtest.Policy{
 		Version:  1,
 		Services: []service.Service{{Name: "voids", HealthPath: healthPath, WarmupMs: 3000, ColdPerSecond: coldPerSecond}},
--- a/core/bottleneck/average.go
+++ b/core/bottleneck/average.go
@@ -6,8 +6,7 @@
 	"coltsfootusher.example/core/clock"
 )
 
-// averageHalfLifeMs is the half-life of the samples of a utilization. It is close to the time between the moments at which a queue
-// fills and empties.
+// averageHalfLifeMs is the half-life of the samples of a utilization. It is close to the time in which a queue fills or empties.
 const averageHalfLifeMs = 150
 
 // average is the mean of recent samples, weighted by their age.
--- a/core/bottleneck/throttle.go
+++ b/core/bottleneck/throttle.go
@@ -20,8 +20,8 @@
 	maxExcess = 1.0
 	// minShare is the share of the lookups of each rank that is always admitted.
 	minShare = 0.2
-	// shortHalfLifeMs is the half-life of the counts by which a kind of requests counts as dependent on a service. While the throttle works,
-	// few requests fail, so that the counts must outlast the shortage.
+	// shortHalfLifeMs is the half-life of the counts by which a kind of requests counts as dependent on a service. While the
+	// throttle works, few requests fail, so that the counts must outlast the shortage.
 	shortHalfLifeMs = 30_000
 	// dependentAfter is the number of requests of a kind that must have failed for lack of capacity of a service, and
 	// dependentShare the fraction of its requests while the service was short. Single requests fail for other reasons at the
@@ -97,8 +97,8 @@
 // Throttle limits the lookups that an origin admits while a service that they and more important requests depend on is short of
 // capacity. It is safe for concurrent use.
 //
-// It trusts the utilization that gates report with each reply. That signal is misleading if targets reject requests although their
-// gates have free slots; such rejections don't count as a shortage.
+// It trusts the utilization that gates report with each reply. That signal is misleading if targets reject requests although
+// their gates have free slots; such rejections don't count as a shortage.
 type Throttle struct {
 	mu       sync.Mutex
 	kinds    map[requestKind]*kindCounts
