--- a/core/balance/selection.go
+++ b/core/balance/selection.go
@@ -19,14 +19,15 @@
 }
 
 // choose returns the better of two random candidates of the local failure domain, unless the better of two from other
-// domains has a shorter wait including the network delay.
+// domains has a shorter wait including the network delay. A faster machine alone is no reason to leave the domain, because traffic
+// between domains is expensive and shortens the call by less than callers notice.
 func (s *selection) choose() (int, bool) {
 	local, localOK := s.bestOfTwo(true)
 	remote, remoteOK := s.bestOfTwo(false)
 	switch {
 	case !localOK:
 		return remote, remoteOK
-	case !remoteOK || s.delayMs(local) <= s.delayMs(remote):
+	case !remoteOK || s.waitMs(local) <= s.waitMs(remote):
 		return local, true
 	default:
 		return remote, true
@@ -107,10 +108,14 @@
 	return utilizationA < utilizationB
 }
 
-// delayMs returns the expected delay at the candidate as in estimate.
-func (s *selection) delayMs(i int) float64 {
-	delayMs, _ := s.estimate(i)
-	return delayMs
+// waitMs returns the expected wait at the candidate plus the network delay.
+func (s *selection) waitMs(i int) float64 {
+	c := s.candidates[i]
+	if s.costMs > 0 {
+		return s.balancer.estimateCompletion(c, s.costMs, s.now).waitMs + c.NetworkDelayMs
+	}
+	waitMs, _ := s.balancer.estimateWait(c, s.now)
+	return waitMs + c.NetworkDelayMs
 }
 
 // estimate returns the expected wait at the candidate plus the network delay, and plus the time that the target takes if the cost
