--- a/core/bottleneck/average.go
+++ b/core/bottleneck/average.go
@@ -6,11 +6,17 @@
 	"coltsfootusher.example/core/clock"
 )
 
-// averageHalfLifeMs is the half-life of the samples of a utilization. It is close to the time in which a queue fills or empties.
-const averageHalfLifeMs = 150
+const (
+	// utilizationHalfLifeMs is the half-life of the samples of a utilization. It is close to the time in which a queue fills or
+	// empties.
+	utilizationHalfLifeMs = 150
+	// failuresHalfLifeMs is that of the samples of failed requests, of which one origin sees some ten per second.
+	failuresHalfLifeMs = 1000
+)
 
 // average is the mean of recent samples, weighted by their age.
 type average struct {
+	halfLifeMs  float64
 	sum, weight float64
 	updated     clock.Millis
 }
@@ -34,7 +40,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	factor := math.Exp2(-elapsed / averageHalfLifeMs)
+	factor := math.Exp2(-elapsed / a.halfLifeMs)
 	a.sum *= factor
 	a.weight *= factor
 	a.updated = now
--- a/core/bottleneck/downstream.go
+++ b/core/bottleneck/downstream.go
@@ -36,7 +36,7 @@
 		if len(d.services) >= maxServices {
 			return
 		}
-		a = &average{updated: now}
+		a = &average{halfLifeMs: utilizationHalfLifeMs, updated: now}
 		d.services[r.Service] = a
 	}
 	a.add(r.Utilization, now)
--- a/core/bottleneck/throttle.go
+++ b/core/bottleneck/throttle.go
@@ -16,6 +16,9 @@
 	// makes the share oscillate, because its effect shows only after the latency of a call chain.
 	cutPerStep              = 0.1
 	stepMs     clock.Millis = 100
+	// toleratedFailures is the fraction of the more important requests that may fail for lack of capacity before lookups are cut.
+	// Above the target utilization the share stays as it is while fewer fail.
+	toleratedFailures = 0.02
 	// maxExcess limits how far above the target the utilization counts, so that a long queue does not end in no admission at all.
 	maxExcess = 1.0
 	// minShare is the share of the lookups of each rank that is always admitted.
@@ -73,6 +76,8 @@
 // service holds the utilization of a service and how far lookups that depend on it are cut.
 type service struct {
 	utilization average
+	// failures is the fraction of the non-idempotent requests that fail because the service is short.
+	failures average
 	// cut is the sum over the ranks, lowest first, of the share of lookups that is not admitted.
 	cut       float64
 	steppedAt clock.Millis
@@ -145,7 +150,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.service(o.Report.Service, now); s != nil {
-		s.utilization.add(o.Report.Utilization, now)
+		s.observe(r, o, now)
 	}
 	if known := t.counts(r, now); known != nil {
 		known.observe(r, o, now)
@@ -213,7 +218,10 @@
 func (t *Throttle) service(name string, now clock.Millis) *service {
 	s := t.services[name]
 	if s == nil && len(t.services) < maxServices {
-		s = &service{utilization: average{updated: now}, steppedAt: now}
+		s = &service{
+			utilization: average{halfLifeMs: utilizationHalfLifeMs, updated: now},
+			failures:    average{halfLifeMs: failuresHalfLifeMs, updated: now}, steppedAt: now,
+		}
 		t.services[name] = s
 	}
 	return s
@@ -229,6 +237,18 @@
 	return known
 }
 
+// observe records the utilization of the service and whether a request that is not throttled has failed for it.
+func (s *service) observe(r Request, o Outcome, now clock.Millis) {
+	s.utilization.add(o.Report.Utilization, now)
+	switch {
+	case r.Idempotent:
+	case o.Short:
+		s.failures.add(1, now)
+	default:
+		s.failures.add(0, now)
+	}
+}
+
 // observe counts an outcome. A kind counts for one service at a time, the one at which its requests have failed.
 func (r *kindCounts) observe(request Request, o Outcome, now clock.Millis) {
 	r.idempotent = request.Idempotent
@@ -270,6 +290,9 @@
 	if now-s.utilization.updated <= staleAfterMs {
 		excess = min(maxExcess, s.utilization.value()-targetUtilization)
 	}
+	if s.competitors.nonIdempotent && excess > 0 && s.failures.value() < toleratedFailures {
+		excess = 0
+	}
 	change := cutPerStep * excess * float64(elapsed) / float64(stepMs)
 	s.cut = min(float64(len(s.competitors.ranks)), max(0, s.cut+change))
 }
