--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -107,13 +107,6 @@
 	cost workcost.Estimate
 }
 
-// account counts the calls of one client account at this gate.
-type account struct {
-	id               string
-	weight           float64
-	running, waiting int
-}
-
 // Gate is the admission control for one target: a concurrency limit with a bounded queue.
 type Gate struct {
 	config  Config
@@ -471,27 +464,6 @@
 	g.dropIdleAccount(w.account)
 }
 
-// account returns the counters of the request's account after updating the weight from the request.
-func (g *Gate) account(r Request) *account {
-	a := g.accounts[r.Account]
-	if a == nil {
-		a = &account{id: r.Account}
-		g.accounts[r.Account] = a
-	}
-	a.weight = r.Weight
-	if !(r.Weight > 0) || math.IsInf(r.Weight, 1) {
-		a.weight = 1
-	}
-	return a
-}
-
-// dropIdleAccount deletes the counters of an account without calls, so that removed accounts don't use memory.
-func (g *Gate) dropIdleAccount(a *account) {
-	if a.running == 0 && a.waiting == 0 {
-		delete(g.accounts, a.id)
-	}
-}
-
 // expectedWaitMs estimates the time in the queue for a call that arrives now.
 func (g *Gate) expectedWaitMs(now clock.Millis) float64 {
 	if g.rate == nil {
--- a/core/gate/queue.go
+++ b/core/gate/queue.go
@@ -177,11 +177,6 @@
 	) < 0
 }
 
-// loadShare returns the number of calls of the account at this gate divided by its weight.
-func (a *account) loadShare() float64 {
-	return float64(a.running+a.waiting) / a.weight
-}
-
 func (q *queue) level(r Request) *priorityLevel {
 	key := &priorityLevel{class: r.Class, depth: r.Depth}
 	if r.Class == route.NonIdempotent {
