--- a/core/balance/selection.go
+++ b/core/balance/selection.go
@@ -19,8 +19,8 @@
 }
 
 // choose returns the better of two random candidates of the local failure domain, unless the better of two from other
-// domains has a shorter wait including the network delay. A faster machine alone is no reason to leave the domain, because traffic
-// between domains is expensive and shortens the call by less than callers notice.
+// domains has a shorter wait including the network delay. A faster machine alone is no reason to leave the domain, because
+// traffic between domains is expensive and shortens the call by less than callers notice.
 func (s *selection) choose() (int, bool) {
 	local, localOK := s.bestOfTwo(true)
 	remote, remoteOK := s.bestOfTwo(false)
