Keep free slots at the faster targets

Cause: a request went to the target with the shortest expected completion time. Change: the run time is divided by the weight of the free slots. TestFasterTargetKeepsFreeSlots fails without it.

--- a/core/balance/selection.go
+++ b/core/balance/selection.go
@@ -119,12 +119,12 @@
 }
 
 // estimate returns the expected wait at the candidate plus the network delay, and plus the time that the target takes if the cost
-// of the request is known; and the utilization of the candidate's slots.
+// of the request is known, weighted by its free slots; and the utilization of the candidate's slots.
 func (s *selection) estimate(i int) (delayMs, utilization float64) {
 	c := s.candidates[i]
 	if s.costMs > 0 {
 		e := s.balancer.estimateCompletion(c, s.costMs, s.now)
-		return waitWeight*e.waitMs + e.runMs + c.NetworkDelayMs, e.utilization
+		return waitWeight*e.waitMs + e.runMs/freeShare(e.utilization) + c.NetworkDelayMs, e.utilization
 	}
 	waitMs, utilization := s.balancer.estimateWait(c, s.now)
 	return waitMs + c.NetworkDelayMs, utilization
--- a/core/balance/work.go
+++ b/core/balance/work.go
@@ -20,6 +20,9 @@
 	// waitWeight is the weight of the expected wait against the expected run time. A call at a busy target also delays the calls
 	// that come after it. At 1, the load test shows more oscillation when the reports leave out a part of the slowness.
 	waitWeight = 3
+	// idleFreeShare and fullFreeShare are the weights of the free slots of an idle target and of a full one.
+	idleFreeShare = 1.2
+	fullFreeShare = 0.2
 	// typicalMemoryMs is the age at which the typical load has half of its weight. A node that was avoided for long must be tried
 	// again.
 	typicalMemoryMs = 5000
@@ -157,6 +160,13 @@
 	return math.Pow(calls/slots, math.Sqrt(2*(slots+1))) * perCallMs
 }
 
+// freeShare returns the weight of a target's free slots, by which its run time is divided. The wait alone rises only with the last
+// slots, so that without the weight the faster targets would be full while the slower ones have free slots, and bursts and work
+// that becomes slower would find no room at them.
+func freeShare(utilization float64) float64 {
+	return max(fullFreeShare, idleFreeShare-utilization)
+}
+
 func (b *Balancer) workFacts(c Candidate, costMs float64, now clock.Millis) WorkFacts {
 	e := b.estimateCompletion(c, costMs, now)
 	return WorkFacts{
--- a/core/balance/work_test.go
+++ b/core/balance/work_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// Load: a faster target with few free slots and a slower one with many. Guards against filling the faster targets to their last
+// slot, where bursts are refused.
+func TestFasterTargetKeepsFreeSlots(t *testing.T) {
+	slower := call.Load{Running: 30, Limit: 100, WorkMs: 3000, SlownessPercent: 160}
+	for running, chosen := range map[int]string{30: "a", 95: "b"} {
+		b, cs := newBalancer(), candidates("x", "x")
+		reportWork(b, "a", call.Load{Running: running, Limit: 100, WorkMs: clock.Millis(50 * running), SlownessPercent: 70}, 1000)
+		reportWork(b, "b", slower, 1000)
+		t.Log(running, chosen)
+		assert.DeepEqual(t, countCostChoices(b, 190, cs, 1000), map[string]int{chosen: 1000})
+	}
+}
+
 // Load: a target that was slow is not used for long. Guards against avoiding it forever.
 func TestSlowTargetIsTriedAgain(t *testing.T) {
 	b, cs := newBalancer(), candidates("x", "x")
