Split the construction of a node

Change: the directory and the metrics are built in functions of their own; the code is the same. Tests of coltsfootd/mesh for metrics, status, costs and refusals pass.

--- a/coltsfootd/mesh/mesh.go
+++ b/coltsfootd/mesh/mesh.go
@@ -139,9 +139,29 @@
 		Memory: responses, Sockets: n.sockets,
 	})
 	n.health = localtarget.NewHealthProber(s.Service, dialect, n.targetPool)
+	if err := n.buildDirectory(source); err != nil {
+		return nil, err
+	}
+	n.limiter = quotas.New(quotas.Config{
+		Address: s.PeerAddress, Clock: n.clock, Values: n.directory, Peers: n.peers, Logger: logging.WithPart(n.logger, "quota"),
+	})
+	n.buildRequestPath(dialect)
+	n.clients = connlimit.New(connlimit.Config{
+		Clock: n.clock, StallMs: s.ResponseStallSeconds.Millis(), Logger: logging.WithPart(n.logger, "clients"),
+	})
+	n.publish(metrics)
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) buildDirectory(source directory.Platform) error {
+	s := n.settings
 	evacuations, err := evacuationPlatform(s, source)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	n.directory = directory.New(directory.Config{
 		Address: s.PeerAddress, TargetAddress: s.TargetAddress, Target: n.health, FailureDomain: s.FailureDomain,
@@ -153,25 +173,18 @@
 		},
 		Logger: logging.WithPart(n.logger, "directory"),
 	})
+	return nil
+}
+
+// publish exports the metrics of the parts that are built from others.
+func (n *Node) publish(metrics *expvar.Map) {
 	n.directory.Publish(metrics)
-	n.limiter = quotas.New(quotas.Config{
-		Address: s.PeerAddress, Clock: n.clock, Values: n.directory, Peers: n.peers, Logger: logging.WithPart(n.logger, "quota"),
-	})
-	n.buildRequestPath(dialect)
 	n.runner.Publish(metrics, n.ownTargetID)
 	n.handler.Sender.Publish(metrics)
 	n.placement.Publish(metrics)
 	metrics.Set("targetCost", expvar.Func(n.targetCost))
-	n.clients = connlimit.New(connlimit.Config{
-		Clock: n.clock, StallMs: s.ResponseStallSeconds.Millis(), Logger: logging.WithPart(n.logger, "clients"),
-	})
 	n.clients.Publish(metrics)
 	n.publishShortage(metrics)
-	if err := n.listen(); err != nil {
-		n.closeListeners()
-		return nil, err
-	}
-	return n, nil
 }
 
 func (n *Node) buildRequestPath(dialect Dialect) {
