--- a/core/balance/work.go
+++ b/core/balance/work.go
@@ -160,9 +160,9 @@
 	return math.Pow(calls/slots, math.Sqrt(2*(slots+1))) * perCallMs
 }
 
-// freeShare returns the weight of a target's free slots, by which its run time is divided. The wait alone rises only with the last
-// slots, so that without the weight the faster targets would be full while the slower ones have free slots, and bursts and work
-// that becomes slower would find no room at them.
+// freeShare returns the weight of a target's free slots, by which its run time is divided. The wait alone rises only with the
+// last slots, so that without the weight the faster targets would be full while the slower ones have free slots, and bursts and
+// work that becomes slower would find no room at them.
 func freeShare(utilization float64) float64 {
 	return max(fullFreeShare, idleFreeShare-utilization)
 }
