--- a/Makefile
+++ b/Makefile
@@ -25,12 +25,13 @@
 # The programs that the integration tests start are built with the race detector, too. The integration tests run after all
 # others, because concurrent compilers and tests distort their timing; those that measure times run first, one at a time.
 # Tests that judge the memory of a node start the programs in bin, because the race detector multiplies it.
+# The result of an integration test is not reused (-count=1), because the go command doesn't track the programs that it starts.
 test: build
 	mkdir -p tmp/race
 	$(GO) build -race -o tmp/race/ ./coltsfootd ./coltsfootctl ./standin
 	@status=0; \
 	$(RUN_TESTS) $(SKIP) $(patsubst %,./%/...,$(filter-out integration,$(MODULES))) || status=1; \
-	$(if $(filter integration,$(MODULES)),$(RUN_TESTS) $(SKIP) ./integration/... || status=1;) \
+	$(if $(filter integration,$(MODULES)),$(RUN_TESTS) -count=1 $(SKIP) ./integration/... || status=1;) \
 	$(if $(KNOWN_RED),echo "known as red (KNOWN-RED.txt): $(KNOWN_RED)"; \
 	$(RUN_TESTS) -run '^($(KNOWN_RED))$$' $(MODULES:%=./%/...) | grep -v 'no test' || true;) \
 	exit $$status
