--- a/review/standin-2/deployment/policy.go
+++ b/review/standin-2/deployment/policy.go
@@ -13,6 +13,14 @@
 	TimeoutS, TargetLatencyS    float64
 	MaxAttempts, Priority       int
 	AllowAnonymous              bool
+	// Split takes the place of Service.
+	Split []Share
+}
+
+// Share is the part of a service in a split.
+type Share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // Tenant is one tenant.
@@ -31,8 +39,12 @@
 	}
 	routeRows, tenantRows, serviceRows := [][]any{}, [][]any{}, [][]any{}
 	for _, r := range routes {
+		var service, split any
+		if service = r.Service; r.Split != nil {
+			service, split = nil, r.Split
+		}
 		routeRows = append(routeRows, []any{
-			r.Host, r.Prefix, r.Service, r.Kind, r.TimeoutS, r.TargetLatencyS, r.MaxAttempts, r.Priority, r.AllowAnonymous,
+			r.Host, r.Prefix, service, split, r.Kind, r.TimeoutS, r.TargetLatencyS, r.MaxAttempts, r.Priority, r.AllowAnonymous,
 		})
 	}
 	for _, t := range tenants {
@@ -44,7 +56,7 @@
 	return d.Store.Put("op/config", map[string]any{
 		"version": version,
 		"routes": map[string]any{"columns": []string{
-			"host", "prefix", "service", "kind", "timeout_s", "target_latency_s", "max_attempts", "priority", "allow_anonymous",
+			"host", "prefix", "service", "traffic_split", "kind", "timeout_s", "target_latency_s", "max_attempts", "priority", "allow_anonymous",
 		}, "rows": routeRows},
 		"tenants":  map[string]any{"columns": []string{"name", "api_keys", "rate_per_s", "burst"}, "rows": tenantRows},
 		"services": map[string]any{"columns": []string{"name", "health_path", "max_connections"}, "rows": serviceRows},
