Judge the case of long heads by LOST

The kills break LOST: a process that ends by itself counts as running, and it closes kept connections whose requests a sound backend has begun.

Shown by review/7/run.sh as before, with eight ordinary callers at each node on kept connections, and by the new watch of lost requests in review/standin-2.

--- a/review/standin-2/case7/main.go
+++ b/review/standin-2/case7/main.go
@@ -21,9 +21,8 @@
 const (
 	memoryMB      = 284
 	maxFiles      = 4100
-	killsToBreak  = 3
-	nodesToBreak  = 2
 	ordinaryEvery = 20 * time.Millisecond
+	callTimeout   = 5 * time.Second
 )
 
 var (
@@ -33,6 +32,7 @@
 	headBytes   = flag.Int("head", 56_000, "bytes of a head of the crowd")
 	lineBytes   = flag.Int("line", 10, "bytes of a field of such a head")
 	duration    = flag.Duration("for", 60*time.Second, "length of the crowd")
+	callers     = flag.Int("callers", 8, "ordinary callers of each node, which send one request after the other")
 	attacked    = flag.Int("nodes", 2, "nodes that the crowd calls")
 	perSecond   = flag.Int("rate", 400, "heads that the crowd begins to send to each node per second")
 )
@@ -60,8 +60,13 @@
 	}
 	defer d.Close()
 	var runs atomic.Int64
+	watch := deployment.NewLossWatch(d)
 	for _, b := range d.Backends {
-		b.Runs = func(*deployment.Backend, *http.Request) bool { runs.Add(1); return true }
+		b.Runs = func(b *deployment.Backend, r *http.Request) bool {
+			runs.Add(1)
+			watch.Begun(b, r.Header.Get("X-Request-Id"))
+			return true
+		}
 	}
 	d.PutPolicy("00000001", []deployment.Route{
 		{Host: "h.example", Prefix: "/lookup/", Service: "riders", Kind: "safe", TimeoutS: 5, TargetLatencyS: 1.2, MaxAttempts: 2, Priority: 2},
@@ -81,8 +86,11 @@
 	var wg sync.WaitGroup
 	var ok, failed atomic.Int64
 	for i, n := range d.Nodes {
-		wg.Add(1)
-		go func() { defer wg.Done(); ordinary(ctx, n, i, &ok, &failed) }()
+		client := deployment.NewKeptClient(n, watch)
+		for c := range *callers {
+			wg.Add(1)
+			go func() { defer wg.Done(); ordinary(ctx, client, fmt.Sprintf("ordinary-%d-%d", i, c), &ok, &failed) }()
+		}
 	}
 	var sent, answered atomic.Int64
 	statuses := sync.Map{}
@@ -110,15 +118,11 @@
 	}
 	wg.Wait()
 	statuses.Range(func(k, v any) bool { d.Log("crowd got %v: %d", k, v.(*atomic.Int64).Load()); return true })
-	broken := 0
 	for _, n := range d.Nodes {
 		d.Log("%s: peak %.0f MB of %d, killed %d times", n.Name, n.PeakMB, memoryMB, n.Kills)
-		if n.Kills >= killsToBreak {
-			broken++
-		}
 	}
-	if broken >= nodesToBreak {
-		d.Log("BROKEN: processes of %d machines ended three times over their memory", broken)
+	if watch.Judge() {
+		d.Log("BROKEN: a machine closed more than three such connections")
 		return 1, nil
 	}
 	d.Log("held")
@@ -126,20 +130,9 @@
 }
 
 // ordinary sends small requests with a key, one at a time.
-func ordinary(ctx context.Context, n *deployment.Node, caller int, ok, failed *atomic.Int64) {
-	client := &http.Client{Timeout: 5 * time.Second}
+func ordinary(ctx context.Context, client *deployment.KeptClient, name string, ok, failed *atomic.Int64) {
 	for i := 0; ctx.Err() == nil; i++ {
-		r, _ := http.NewRequest(http.MethodGet, "http://"+n.Entry+"/lookup/x", nil)
-		r.Host = "h.example"
-		r.Header.Set("X-Request-Id", fmt.Sprintf("ordinary-%d-%d", caller, i))
-		r.Header.Set("X-Deadline-Ms", "5000")
-		r.Header.Set("Authorization", "Token key-one")
-		response, err := client.Do(r)
-		if err == nil {
-			_, err = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close()
-		}
-		if err == nil && response.StatusCode == http.StatusOK {
+		if client.Get("/lookup/x", "key-one", fmt.Sprintf("%s-%d", name, i), callTimeout) == "200 OK " {
 			ok.Add(1)
 		} else {
 			failed.Add(1)
--- a/review/standin-2/deployment/node.go
+++ b/review/standin-2/deployment/node.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
+	// startedAt is the time of the last start.
+	startedAt time.Time
 	// Exits are the ends of the process, newest last.
 	Exits []string
 	// stopped is true once the process is not started again.
@@ -77,7 +79,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	n.command, n.ended = c, make(chan struct{})
+	n.command, n.ended, n.startedAt = c, make(chan struct{}), time.Now()
 	ended := n.ended
 	go func() {
 		err := c.Wait()
@@ -89,6 +91,13 @@
 	return nil
 }
 
+// StartedAt returns the time of the last start of the process.
+func (n *Node) StartedAt() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.startedAt
+}
+
 // Signal sends a signal to the process.
 func (n *Node) Signal(s syscall.Signal) {
 	n.mu.Lock()
